--- /dev/null
+++ b/packages/cli/src/spindle_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command line of damaskspindle."""
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The damaskspindle daemon: entry and control roles over one event loop."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/account/__init__.py
@@ -0,0 +1,1 @@
+"""Minute summaries and the page of a day."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""The deployment as agreed: data centres, groups, services and upstreams."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims kept in the replicated log."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/commands/command.py
@@ -0,0 +1,29 @@
+"""The union of commands and of results, and their codec."""
+
+import msgspec
+
+from spindle_decisions.commands.apply_note import ApplyNote
+from spindle_decisions.commands.claim_granted import ClaimGranted
+from spindle_decisions.commands.claim_held import ClaimHeld
+from spindle_decisions.commands.claim_refused import ClaimRefused
+from spindle_decisions.commands.claim_run import ClaimRun
+from spindle_decisions.commands.note_applied import NoteApplied
+from spindle_decisions.commands.note_refused import NoteRefused
+from spindle_decisions.commands.outcome_recorded import OutcomeRecorded
+from spindle_decisions.commands.record_outcome import RecordOutcome
+
+Command = ApplyNote | ClaimRun | RecordOutcome
+Result = NoteApplied | NoteRefused | ClaimGranted | ClaimHeld | ClaimRefused | OutcomeRecorded
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Command)
+
+
+def encode_command(command: Command) -> bytes:
+    """Encode a command for the replicated log."""
+    return _ENCODER.encode(command)
+
+
+def decode_command(data: bytes) -> Command:
+    """Decode a command of the replicated log; raise `msgspec.DecodeError` if malformed."""
+    return _DECODER.decode(data)
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement between control instances."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/entry_kind.py
@@ -0,0 +1,11 @@
+"""The kinds of log entries."""
+
+import enum
+
+
+class EntryKind(enum.IntEnum):
+    """What a log entry carries: an encoded command, a membership set, or nothing."""
+
+    COMMAND = 0
+    MEMBERSHIP = 1
+    NOOP = 2
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/exceptions.py
@@ -0,0 +1,173 @@
+"""The error tree: every error carries a stable code for callers, operators and logs."""
+
+
+class SpindleError(Exception):
+    """Base of all errors of the system.
+
+    `code` is stable across releases and appears in HTTP answers, in logs and in
+    the output of the command line. `http_status` is the status an HTTP endpoint
+    answers with when the error reaches it.
+    """
+
+    code = "internal"
+    http_status = 500
+
+
+class SettingsError(SpindleError):
+    """A settings file is wrong; the text names section, key, value and what is allowed."""
+
+    code = "settings-invalid"
+    http_status = 400
+
+
+class NoteError(SpindleError):
+    """A release note is refused."""
+
+    code = "note-invalid"
+    http_status = 422
+
+
+class NoteConflictError(NoteError):
+    """Another note already holds this number; the text names the digest of that note."""
+
+    code = "note-number-taken"
+    http_status = 409
+
+
+class RefusalError(SpindleError):
+    """An honest refusal to a caller."""
+
+    code = "refused"
+    http_status = 503
+
+
+class BadRequestError(RefusalError):
+    """The request is malformed; nothing ran."""
+
+    code = "bad-request"
+    http_status = 400
+
+
+class UnknownGroupError(RefusalError):
+    """The catalog holds no such group or service; nothing ran."""
+
+    code = "unknown-group"
+    http_status = 404
+
+
+class DeadlineExceededError(RefusalError):
+    """The deadline passed before an answer with enough coverage was complete."""
+
+    code = "deadline-exceeded"
+    http_status = 504
+
+
+class CoverageBelowMinimumError(RefusalError):
+    """The answer covers fewer services than the caller asked for."""
+
+    code = "coverage-below-minimum"
+    http_status = 503
+
+
+class OverloadedError(RefusalError):
+    """The tier refuses new work to protect the upstreams; nothing ran."""
+
+    code = "overloaded"
+    http_status = 503
+
+
+class LeavingError(RefusalError):
+    """This instance is stopping and takes no new work; nothing ran."""
+
+    code = "leaving"
+    http_status = 503
+
+
+class NotRunError(RefusalError):
+    """The request did not run anywhere."""
+
+    code = "not-run"
+    http_status = 503
+
+
+class OutcomeUnknownError(RefusalError):
+    """The request may have run; its outcome cannot be told."""
+
+    code = "outcome-unknown"
+    http_status = 502
+
+
+class IdExpiredError(RefusalError):
+    """The request id is older than the retention of ids; nothing ran."""
+
+    code = "id-expired"
+    http_status = 410
+
+
+class ControlError(SpindleError):
+    """A control operation failed."""
+
+    code = "control"
+    http_status = 503
+
+
+class NotLeaderError(ControlError):
+    """This control instance does not lead; `leader` names the one that does, if known."""
+
+    code = "not-leader"
+    http_status = 421
+
+    def __init__(self, leader: str | None) -> None:
+        super().__init__(f"leader is {leader or 'unknown'}")
+        self.leader = leader
+
+
+class NoQuorumError(ControlError):
+    """No majority of control instances answered in time."""
+
+    code = "no-quorum"
+
+
+class MembershipChangeError(ControlError):
+    """A change of the control membership is refused."""
+
+    code = "membership-change-refused"
+    http_status = 409
+
+
+class StorageError(SpindleError):
+    """The data folder cannot be used."""
+
+    code = "storage"
+
+
+class StorageDamagedError(StorageError):
+    """A file of the data folder is damaged in a way that is not a torn tail."""
+
+    code = "storage-damaged"
+
+
+class StorageLockedError(StorageError):
+    """Another process holds the data folder."""
+
+    code = "storage-locked"
+
+
+class SyncFailedError(StorageError):
+    """A sync to disk failed; the process must stop."""
+
+    code = "sync-failed"
+
+
+class FrameError(SpindleError):
+    """A frame between processes is malformed, oversized or of an unknown version."""
+
+    code = "frame-invalid"
+    http_status = 400
+
+
+class AuthError(FrameError):
+    """The signature of a frame or of an operator request is missing or wrong."""
+
+    code = "auth-failed"
+    http_status = 401
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances live, and which are leaving."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/notes/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes: parsing, checking and applying."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on the path of one request."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Typed events ordered by a hybrid logical clock."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/timeline/hlc_stamp.py
@@ -0,0 +1,10 @@
+"""The stamp of a hybrid logical clock."""
+
+import msgspec
+
+
+class HlcStamp(msgspec.Struct, frozen=True, order=True):
+    """Wall clock part in Unix milliseconds and a counter that breaks ties."""
+
+    wall_ms: int
+    counter: int
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without a home of their own."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes of the system."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/wire/headers.py
@@ -0,0 +1,13 @@
+"""Header names of the HTTP protocols towards callers and upstreams."""
+
+HEADER_REQUEST_ID = "X-Spindle-Request-Id"
+HEADER_SNAPSHOT = "X-Spindle-Snapshot"
+HEADER_DEADLINE_MS = "X-Spindle-Deadline-Ms"
+HEADER_MIN_COVERAGE = "X-Spindle-Min-Coverage"
+HEADER_NOT_RUN = "X-Spindle-Not-Run"
+HEADER_LOAD = "X-Spindle-Load"
+HEADER_DRAINING = "X-Spindle-Draining"
+HEADER_CODE = "X-Spindle-Code"
+HEADER_IDEMPOTENCY_KEY = "Idempotency-Key"
+HEADER_SIGNATURE = "X-Spindle-Signature"
+HEADER_SIGNED_AT = "X-Spindle-Signed-At"
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/wire/heartbeat_ack.py
@@ -0,0 +1,20 @@
+"""The answer of a control instance to a heartbeat."""
+
+import msgspec
+
+from spindle_decisions.wire.live_instance import LiveInstance
+
+
+class HeartbeatAck(msgspec.Struct, frozen=True, tag="heartbeat-ack"):
+    """What a control instance holds, and which instances it believes to live.
+
+    `stale` is true when it heard no quorum for a lease; its entries then move
+    to another control instance. `quorum_age_ms` is how long ago it did.
+    """
+
+    control: str
+    stale: bool
+    quorum_age_ms: int
+    config_version: int
+    config_digest: str
+    live: tuple[LiveInstance, ...]
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: stand-in upstream, fault proxy and load generator."""
