Add the core of the daemon: settings, signed mesh messages, HTTP server

Settings are read by configparser and checked with voluptuous; an error names section, key, value and what is allowed. Processes exchange signed msgspec frames over pynng push/pull pairs: one inbox each, one link per peer, a full link drops and counts instead of blocking the loop. Request/reply sockets were ruled out: a lost answer would hold the socket, and agreement needs one-way messages anyway.

--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/__init__.py
@@ -0,0 +1,1 @@
+"""Components of the daemon, one folder each."""
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/core/__init__.py
@@ -0,0 +1,1 @@
+"""The running instance: event bus, clock and the interfaces between components."""
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/core/account_sink.py
@@ -0,0 +1,15 @@
+"""Where the serving path reports every finished request."""
+
+from typing import Protocol
+
+from spindle_decisions.account.query_record import QueryRecord
+
+
+class AccountSink(Protocol):
+    """The account of this process."""
+
+    def arrived(self, group: str) -> None:
+        """Count a request at its arrival, before anything can go wrong."""
+
+    def finished(self, record: QueryRecord) -> None:
+        """Count how a request ended."""
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/core/catalog_taken.py
@@ -0,0 +1,12 @@
+"""The bus event of a new catalog."""
+
+import dataclasses
+
+from spindle_decisions.catalog.index import CatalogIndex
+
+
+@dataclasses.dataclass(frozen=True)
+class CatalogTaken:
+    """The instance took a newer catalog; it is in force here from now on."""
+
+    index: CatalogIndex
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/core/clock.py
@@ -0,0 +1,28 @@
+"""The clocks of a process."""
+
+import time
+from typing import Protocol
+
+MS_PER_S = 1000
+
+
+class Clock(Protocol):
+    """Time as a process sees it."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+
+    def wall_ms(self) -> int:
+        """Return Unix time in milliseconds."""
+
+
+class SystemClock:
+    """The clocks of the operating system."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+    def wall_ms(self) -> int:
+        """Return Unix time in milliseconds."""
+        return int(time.time() * MS_PER_S)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/core/event_bus.py
@@ -0,0 +1,33 @@
+"""The event bus: components tell each other what happened without knowing each other."""
+
+import logging
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+_LOGGER = logging.getLogger(__name__)
+
+EventT = TypeVar("EventT")
+Listener = Callable[[Any], None]
+
+
+class EventBus:
+    """Delivers typed events to listeners, on the one loop, in order of registration.
+
+    A listener that raises is logged and does not stop the others.
+    """
+
+    def __init__(self) -> None:
+        self.listeners: dict[type[Any], list[Listener]] = defaultdict(list)
+
+    def listen(self, kind: type[EventT], listener: Callable[[EventT], None]) -> None:
+        """Call `listener` for every event of that type."""
+        self.listeners[kind].append(listener)
+
+    def fire(self, event: object) -> None:
+        """Deliver an event to all listeners of its type."""
+        for listener in self.listeners[type(event)]:
+            try:
+                listener(event)
+            except Exception:
+                _LOGGER.exception("bus: listener failed for %s", type(event).__name__)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/core/spindle.py
@@ -0,0 +1,58 @@
+"""The running instance that components are set up on."""
+
+import logging
+import random
+from collections.abc import Callable
+
+from spindle_daemon.core.account_sink import AccountSink
+from spindle_daemon.core.catalog_source import CatalogSource
+from spindle_daemon.core.clock import Clock
+from spindle_daemon.core.control_client import ControlClient
+from spindle_daemon.core.event_bus import EventBus
+from spindle_daemon.core.timeline_sink import TimelineSink
+from spindle_daemon.mesh.transport import Transport
+from spindle_daemon.settings.settings import Settings
+
+_LOGGER = logging.getLogger(__name__)
+
+StopHook = Callable[[], None]
+
+
+class Spindle:
+    """Everything that the components of one process share.
+
+    The interfaces are filled in by the components that provide them, before
+    the components that use them are set up. Stop hooks run in the order of
+    registration, each to its end, so that serving stops before what it needs.
+    """
+
+    catalog: CatalogSource
+    control: ControlClient
+    timeline: TimelineSink
+    account: AccountSink
+    transport: Transport
+
+    def __init__(
+        self, settings: Settings, clock: Clock, rng: random.Random, incarnation: int
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.incarnation = incarnation
+        self.bus = EventBus()
+        self.ready = False
+        self.leaving = False
+        self.stop_hooks: list[StopHook] = []
+
+    def on_stop(self, hook: StopHook) -> None:
+        """Register work for a planned stop; it may block its greenlet."""
+        self.stop_hooks.append(hook)
+
+    def stop(self) -> None:
+        """Run all stop hooks; a hook that fails is logged and the next one runs."""
+        self.leaving = True
+        for hook in self.stop_hooks:
+            try:
+                hook()
+            except Exception:
+                _LOGGER.exception("daemon: stop hook failed")
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by components."""
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Signed messages between the processes of the system over pynng."""
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/mesh/const.py
@@ -0,0 +1,7 @@
+"""Bounds of the messages between processes."""
+
+SEND_QUEUE_MESSAGES = 128
+RECV_QUEUE_MESSAGES = 128
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+MAX_PEERS = 1024
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/settings/loader.py
@@ -0,0 +1,160 @@
+"""Reading and checking of the settings file."""
+
+import configparser
+import pathlib
+from typing import Any
+
+import voluptuous as vol
+
+from spindle_daemon.settings import const, schema
+from spindle_daemon.settings.control_address import ControlAddress
+from spindle_daemon.settings.control_settings import ControlSettings
+from spindle_daemon.settings.entry_settings import EntrySettings
+from spindle_daemon.settings.instance_settings import InstanceSettings
+from spindle_daemon.settings.mesh_settings import MeshSettings
+from spindle_daemon.settings.serving_settings import ServingSettings
+from spindle_daemon.settings.settings import Settings
+from spindle_decisions.exceptions import SettingsError
+
+KNOWN_SECTIONS = (
+    const.SECTION_INSTANCE,
+    const.SECTION_MESH,
+    const.SECTION_ADMIN,
+    const.SECTION_ENTRY,
+    const.SECTION_SERVING,
+    const.SECTION_CONTROL,
+    const.SECTION_CONTROLS,
+)
+MAX_CONTROLS = 7
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Read a settings file; raise `SettingsError` that names what is wrong and what is allowed."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as err:
+        raise SettingsError(f"cannot read {path}: {err}") from err
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Settings:
+    """Check the text of a settings file."""
+    parser = _read_ini(text)
+    instance = _instance(_section(parser, const.SECTION_INSTANCE, schema.INSTANCE_SCHEMA))
+    mesh = _section(parser, const.SECTION_MESH, schema.MESH_SCHEMA)
+    admin = _section(parser, const.SECTION_ADMIN, schema.ADMIN_SCHEMA)
+    return Settings(
+        instance=instance,
+        mesh=MeshSettings(
+            mesh[const.CONF_LISTEN], mesh.get(const.CONF_ADVERTISE, mesh[const.CONF_LISTEN])
+        ),
+        admin=admin[const.CONF_LISTEN],
+        controls=_controls(parser),
+        serving=_serving(_section(parser, const.SECTION_SERVING, schema.SERVING_SCHEMA)),
+        entry=_entry(parser, instance),
+        control=_control(parser, instance),
+    )
+
+
+def _read_ini(text: str) -> configparser.ConfigParser:
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(text)
+    except configparser.Error as err:
+        raise SettingsError(f"not an INI file: {err}") from err
+    for section in parser.sections():
+        if section not in KNOWN_SECTIONS:
+            raise SettingsError(f"[{section}]: unknown; allowed: {', '.join(KNOWN_SECTIONS)}")
+    return parser
+
+
+def _section(parser: configparser.ConfigParser, section: str, checks: vol.Schema) -> dict[str, Any]:
+    values = dict(parser[section]) if parser.has_section(section) else {}
+    try:
+        checked: dict[str, Any] = checks(values)
+    except vol.MultipleInvalid as err:
+        raise SettingsError(_explain(section, values, err.errors[0])) from err
+    return checked
+
+
+def _explain(section: str, values: dict[str, str], error: vol.Invalid) -> str:
+    key = str(error.path[0]) if error.path else ""
+    value = values.get(key)
+    shown = "missing" if value is None else repr(value)
+    return f"[{section}] {key} = {shown}: {error.msg}"
+
+
+def _instance(values: dict[str, Any]) -> InstanceSettings:
+    data_dir = values.get(const.CONF_DATA_DIR)
+    if values[const.CONF_ROLE] == const.ROLE_CONTROL and data_dir is None:
+        raise SettingsError(
+            f"[{const.SECTION_INSTANCE}] {const.CONF_DATA_DIR} = missing: "
+            "allowed: a folder on disk; the role control needs one"
+        )
+    return InstanceSettings(
+        name=values[const.CONF_NAME],
+        data_center=values[const.CONF_DATA_CENTER],
+        role=values[const.CONF_ROLE],
+        key_file=pathlib.Path(values[const.CONF_KEY_FILE]),
+        data_dir=pathlib.Path(data_dir) if data_dir else None,
+        log_level=values[const.CONF_LOG_LEVEL],
+    )
+
+
+def _serving(values: dict[str, Any]) -> ServingSettings:
+    return ServingSettings(
+        policy=values[const.CONF_POLICY],
+        hedging=values[const.CONF_HEDGING],
+        retries=values[const.CONF_RETRIES],
+        limits=values[const.CONF_LIMITS],
+        ejection=values[const.CONF_EJECTION],
+        shares=values[const.CONF_SHARES],
+        snapshot_pinning=values[const.CONF_SNAPSHOT_PINNING],
+        claims=values[const.CONF_CLAIMS],
+    )
+
+
+def _entry(parser: configparser.ConfigParser, instance: InstanceSettings) -> EntrySettings | None:
+    if instance.role != const.ROLE_ENTRY:
+        return None
+    values = _section(parser, const.SECTION_ENTRY, schema.ENTRY_SCHEMA)
+    return EntrySettings(
+        listen=values[const.CONF_LISTEN],
+        max_body_bytes=values[const.CONF_MAX_BODY_BYTES],
+        max_callers=values[const.CONF_MAX_CALLERS],
+        header_timeout_ms=values[const.CONF_HEADER_TIMEOUT_MS],
+        body_timeout_ms=values[const.CONF_BODY_TIMEOUT_MS],
+        idle_timeout_ms=values[const.CONF_IDLE_TIMEOUT_MS],
+        stop_lag_ms=values[const.CONF_STOP_LAG_MS],
+    )
+
+
+def _control(
+    parser: configparser.ConfigParser, instance: InstanceSettings
+) -> ControlSettings | None:
+    if instance.role != const.ROLE_CONTROL:
+        return None
+    values = _section(parser, const.SECTION_CONTROL, schema.CONTROL_SCHEMA)
+    if values[const.CONF_ELECTION_MIN_MS] >= values[const.CONF_ELECTION_MAX_MS]:
+        raise SettingsError(
+            f"[{const.SECTION_CONTROL}] {const.CONF_ELECTION_MIN_MS} = "
+            f"{values[const.CONF_ELECTION_MIN_MS]}: allowed: less than {const.CONF_ELECTION_MAX_MS}"
+        )
+    return ControlSettings(
+        heartbeat_ms=values[const.CONF_HEARTBEAT_MS],
+        election_min_ms=values[const.CONF_ELECTION_MIN_MS],
+        election_max_ms=values[const.CONF_ELECTION_MAX_MS],
+        lease_ms=values[const.CONF_LEASE_MS],
+        snapshot_every=values[const.CONF_SNAPSHOT_EVERY],
+        group_commit=values[const.CONF_GROUP_COMMIT],
+    )
+
+
+def _controls(parser: configparser.ConfigParser) -> tuple[ControlAddress, ...]:
+    values = _section(parser, const.SECTION_CONTROLS, schema.CONTROLS_SCHEMA)
+    if not 0 < len(values) <= MAX_CONTROLS:
+        raise SettingsError(
+            f"[{const.SECTION_CONTROLS}] has {len(values)} entries: "
+            f"allowed: 1 to {MAX_CONTROLS} lines NAME = tcp://IP:PORT"
+        )
+    return tuple(ControlAddress(key, values[key]) for key in sorted(values))
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/settings/serving_settings.py
@@ -0,0 +1,20 @@
+"""Settings of the serving policy."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class ServingSettings:
+    """The serving policy, and single mechanisms to switch off in experiments.
+
+    `policy` is `tier`, or `naive`: one random replica, no hedge, no limit.
+    """
+
+    policy: str
+    hedging: bool
+    retries: bool
+    limits: bool
+    ejection: bool
+    shares: bool
+    snapshot_pinning: bool
+    claims: bool
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/settings/settings.py
@@ -0,0 +1,27 @@
+"""All settings of one process."""
+
+import dataclasses
+
+from spindle_daemon.settings.control_address import ControlAddress
+from spindle_daemon.settings.control_settings import ControlSettings
+from spindle_daemon.settings.endpoint import Endpoint
+from spindle_daemon.settings.entry_settings import EntrySettings
+from spindle_daemon.settings.instance_settings import InstanceSettings
+from spindle_daemon.settings.mesh_settings import MeshSettings
+from spindle_daemon.settings.serving_settings import ServingSettings
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """The checked settings of one process.
+
+    `entry` is present for the role `entry`, `control` for the role `control`.
+    """
+
+    instance: InstanceSettings
+    mesh: MeshSettings
+    admin: Endpoint
+    controls: tuple[ControlAddress, ...]
+    serving: ServingSettings
+    entry: EntrySettings | None
+    control: ControlSettings | None
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/wire/message.py
@@ -0,0 +1,31 @@
+"""The union of all messages between processes."""
+
+from spindle_decisions.wire.config_chunk import ConfigChunk
+from spindle_decisions.wire.config_delta import ConfigDelta
+from spindle_decisions.wire.config_notice import ConfigNotice
+from spindle_decisions.wire.control_status import ControlStatus
+from spindle_decisions.wire.fetch_config import FetchConfig
+from spindle_decisions.wire.heartbeat import Heartbeat
+from spindle_decisions.wire.heartbeat_ack import HeartbeatAck
+from spindle_decisions.wire.leave import Leave
+from spindle_decisions.wire.propose import Propose
+from spindle_decisions.wire.propose_reply import ProposeReply
+from spindle_decisions.wire.raft_packet import RaftPacket
+from spindle_decisions.wire.summary_ack import SummaryAck
+from spindle_decisions.wire.summary_report import SummaryReport
+
+Message = (
+    ConfigChunk
+    | ConfigDelta
+    | ConfigNotice
+    | ControlStatus
+    | FetchConfig
+    | Heartbeat
+    | HeartbeatAck
+    | Leave
+    | Propose
+    | ProposeReply
+    | RaftPacket
+    | SummaryAck
+    | SummaryReport
+)
