--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/notes/const.py
@@ -0,0 +1,40 @@
+"""Constants of release notes."""
+
+MAX_NOTE_BYTES = 512 * 1024
+MAX_SECTIONS = 4096
+MAX_NAME_LENGTH = 63
+MAX_AUTHOR_LENGTH = 64
+MAX_SHOWN_VALUE_LENGTH = 80
+
+MAX_DATA_CENTERS = 64
+MAX_GROUPS = 256
+MAX_SERVICES = 4_096
+MAX_UPSTREAMS = 8_192
+
+MAX_NUMBER = 1_000_000_000
+MAX_EPOCH = 1_000_000
+MAX_TIME_MS = 600_000
+MAX_SLOTS = 1_024
+MAX_CONNECTIONS = 100_000
+MAX_PORT = 65_535
+
+SECTION_NOTE = "note"
+
+CONF_ADDRESS = "address"
+CONF_AUTHOR = "author"
+CONF_CONNECTIONS = "connections"
+CONF_DATA_CENTER = "data-center"
+CONF_DEADLINE_MS = "deadline-ms"
+CONF_DRAINING = "draining"
+CONF_EPOCH = "epoch"
+CONF_FIRST_EPOCH = "first-epoch"
+CONF_GROUP = "group"
+CONF_ID = "id"
+CONF_KIND = "kind"
+CONF_LAST_EPOCH = "last-epoch"
+CONF_MIN_COVERAGE = "min-coverage"
+CONF_NUMBER = "number"
+CONF_REGION = "region"
+CONF_SERVICE = "service"
+CONF_SLOTS = "slots"
+CONF_TARGET_MS = "target-ms"
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/notes/parser.py
@@ -0,0 +1,168 @@
+"""Reads a release note from INI text."""
+
+import configparser
+from typing import Any
+
+import voluptuous as vol
+
+from spindle_decisions.exceptions import NoteError
+from spindle_decisions.notes.canonical import digest_of
+from spindle_decisions.notes.change import Change
+from spindle_decisions.notes.change_action import ChangeAction
+from spindle_decisions.notes.const import (
+    CONF_AUTHOR,
+    CONF_ID,
+    CONF_NUMBER,
+    MAX_NOTE_BYTES,
+    MAX_SECTIONS,
+    SECTION_NOTE,
+)
+from spindle_decisions.notes.errors import create_value_error
+from spindle_decisions.notes.line_index import LineIndex, create_line_index
+from spindle_decisions.notes.note import Note
+from spindle_decisions.notes.schemas import NOTE_SCHEMA, schema_of
+from spindle_decisions.notes.setting import Setting
+from spindle_decisions.notes.subject import Subject
+from spindle_decisions.notes.validators import Address, validate_name
+
+_ALLOWED_CONTROL_CHARACTERS = frozenset("\n\r\t")
+_ALLOWED_SECTIONS = (
+    f"[{SECTION_NOTE}] or three words: {', '.join(ChangeAction)}; {', '.join(Subject)}; a name"
+)
+
+
+def parse_note(text: str) -> Note:
+    """Parse a release note and check each of its values.
+
+    Raises `NoteError`, whose text names line, section, key, value and what is
+    allowed. Example of a note that adds a data centre:
+
+        [note]
+        number = 1
+        id = 0193a1de-7c1e-7d2a-9f2b-0c4f3a5b6d7e
+        author = yann
+        [added data-center rennes-a]
+        region = bretagne
+    """
+    _check_text(text)
+    lines = create_line_index(text)
+    parser = _read(text)
+    _check_section_count(parser)
+    if not parser.has_section(SECTION_NOTE):
+        raise NoteError(f"section [{SECTION_NOTE}] is missing")
+    head = _validated(lines, parser, SECTION_NOTE, NOTE_SCHEMA)
+    changes = tuple(
+        _parse_change(lines, parser, section)
+        for section in parser.sections()
+        if section != SECTION_NOTE
+    )
+    if not changes:
+        raise NoteError("the note holds no change: at least one section beside [note] is needed")
+    _check_no_member_twice(changes)
+    return Note(
+        number=head[CONF_NUMBER],
+        note_id=head[CONF_ID],
+        author=head[CONF_AUTHOR],
+        digest=digest_of(parser),
+        changes=changes,
+    )
+
+
+def _check_text(text: str) -> None:
+    if len(text) > MAX_NOTE_BYTES:
+        raise NoteError(f"the note is larger than {MAX_NOTE_BYTES} bytes")
+    try:
+        size_bytes = len(text.encode())
+    except UnicodeEncodeError as err:
+        raise NoteError("the note is not valid Unicode text") from err
+    if size_bytes > MAX_NOTE_BYTES:
+        raise NoteError(f"the note is {size_bytes} bytes, allowed are {MAX_NOTE_BYTES}")
+    for number, line in enumerate(text.split("\n"), start=1):
+        for character in line:
+            if not character.isprintable() and character not in _ALLOWED_CONTROL_CHARACTERS:
+                raise NoteError(f"line {number}: character {character!r} is not allowed")
+
+
+def _read(text: str) -> configparser.ConfigParser:
+    parser = configparser.ConfigParser(
+        default_section="",
+        delimiters=("=",),
+        empty_lines_in_values=False,
+        interpolation=None,
+        strict=True,
+    )
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    try:
+        parser.read_string(text, source="note")
+    except configparser.Error as err:
+        raise NoteError(" ".join(str(err).split())) from err
+    return parser
+
+
+def _check_section_count(parser: configparser.ConfigParser) -> None:
+    count = len(parser.sections())
+    if count > MAX_SECTIONS:
+        raise NoteError(f"the note has {count} sections, allowed are {MAX_SECTIONS}")
+
+
+def _check_no_member_twice(changes: tuple[Change, ...]) -> None:
+    seen: dict[tuple[Subject, str], Change] = {}
+    for change in changes:
+        member = (change.subject, change.name)
+        earlier = seen.setdefault(member, change)
+        if earlier is not change:
+            raise NoteError(
+                f"line {change.line}, [{change.section}]: the note already holds "
+                f"[{earlier.section}] at line {earlier.line}, allowed is one section for a member"
+            )
+
+
+def _parse_change(lines: LineIndex, parser: configparser.ConfigParser, section: str) -> Change:
+    line = lines.line_of(section)
+    words = section.split(" ")
+    if len(words) != 3 or words[0] not in list(ChangeAction) or words[1] not in list(Subject):
+        raise create_value_error(line, section, "section", section, _ALLOWED_SECTIONS)
+    action, subject, name = ChangeAction(words[0]), Subject(words[1]), words[2]
+    try:
+        validate_name(name)
+    except vol.Invalid as err:
+        raise create_value_error(line, section, "name", name, err.msg) from err
+    values = _validated(lines, parser, section, schema_of(action, subject))
+    if action is ChangeAction.CHANGED and not values:
+        raise create_value_error(line, section, "key", None, "at least one key to change")
+    return Change(action, subject, name, _settings(values), line)
+
+
+def _settings(values: dict[str, Any]) -> tuple[Setting, ...]:
+    settings = []
+    for key, value in values.items():
+        if isinstance(value, Address):
+            settings.append(Setting("host", value.host))
+            settings.append(Setting("port", value.port))
+        else:
+            settings.append(Setting(key.replace("-", "_"), value))
+    return tuple(settings)
+
+
+def _validated(
+    lines: LineIndex, parser: configparser.ConfigParser, section: str, schema: vol.Schema
+) -> dict[str, Any]:
+    written = dict(parser.items(section))
+    try:
+        values: dict[str, Any] = schema(written)
+    except vol.MultipleInvalid as err:
+        first = err.errors[0]
+        key = str(first.path[0])
+        raise create_value_error(
+            lines.line_of(section, key), section, key, written.get(key), _allowed(first, schema)
+        ) from err
+    return values
+
+
+def _allowed(error: vol.Invalid, schema: vol.Schema) -> str:
+    if error.msg != "extra keys not allowed" and not isinstance(error, vol.RequiredFieldInvalid):
+        return str(error.msg)
+    keys = ", ".join(sorted(str(key) for key in schema.schema))
+    if isinstance(error, vol.RequiredFieldInvalid):
+        return f"a section with this key (keys: {keys})"
+    return f"one of the keys {keys}" if keys else "no key here"
--- /dev/null
+++ b/tests/decisions/notes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of release notes."""
