Serve stand-in upstreams in one gevent process

Experiments and integration tests need upstreams that drain, shed, freeze, truncate or swap answers and that record every execution. One process serves several of them, since a bare gevent process holds some 32 MB. The control side listens on a port of its own: on the upstream's port it would count against the connection cap and would go away with refused connections.

A run that holds a slot is not cancelled by a closed connection; a query is.

--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/serving_loop.py
@@ -0,0 +1,25 @@
+"""The event loop that development processes run on."""
+
+import signal
+
+import gevent
+from gevent.event import Event
+
+from spindle_decisions.exceptions import SpindleError
+
+_BACKEND = "epoll"
+
+
+def check_loop() -> None:
+    """Raise `SpindleError` unless gevent runs on libev with epoll."""
+    backend = str(getattr(gevent.get_hub().loop, "backend", "unknown"))
+    if backend != _BACKEND:
+        raise SpindleError(f"gevent loop uses {backend}, expected {_BACKEND}")
+
+
+def wait_for_stop() -> None:
+    """Wait until the process is told to stop by SIGTERM or SIGINT."""
+    stop = Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    gevent.signal_handler(signal.SIGINT, stop.set)
+    stop.wait()
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/upstream/application.py
@@ -0,0 +1,102 @@
+"""The upstream protocol over HTTP."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from spindle_decisions.wire.headers import (
+    HEADER_DRAINING,
+    HEADER_LOAD,
+    HEADER_NOT_RUN,
+    HEADER_REQUEST_ID,
+    HEADER_SNAPSHOT,
+)
+from spindle_devkit.upstream import const
+from spindle_devkit.upstream.answer import Answer
+from spindle_devkit.upstream.connection_handler import ENVIRON_HANDLER
+from spindle_devkit.upstream.executor import Executor, monotonic
+from spindle_devkit.upstream.refusal import Refusal
+from spindle_devkit.upstream.standin_upstream import StandinUpstream
+from spindle_devkit.upstream.upstream_status import UpstreamStatus
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class Application:
+    """The WSGI application of one stand-in upstream."""
+
+    def __init__(self, upstream: StandinUpstream) -> None:
+        self.upstream = upstream
+        self.executor = Executor(upstream)
+
+    def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        self.executor.wait_while_frozen()
+        path = str(environ["PATH_INFO"])
+        handler = environ[ENVIRON_HANDLER]
+        if path == const.PATH_STATUS:
+            return self._write(self._status(), start, handler)
+        answer = self._work(path, environ, handler)
+        if answer is None:
+            handler.close_connection = True
+            start("499 Client Closed", [])
+            return []
+        return self._write(answer, start, handler)
+
+    def _work(self, path: str, environ: dict[str, Any], handler: Any) -> Answer | None:
+        if path not in (const.PATH_QUERY, const.PATH_RUN):
+            return _refuse_unread("404 Not Found", "unknown-path")
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > const.MAX_BODY_BYTES:
+            handler.close_connection = True
+            return _refuse_unread("413 Content Too Large", "bad-request")
+        body = environ["wsgi.input"].read(length)
+        try:
+            if path == const.PATH_RUN:
+                return self.executor.run(environ, body, handler)
+            return self.executor.query(environ, body, handler)
+        except msgspec.DecodeError as err:
+            return _refuse_unread("400 Bad Request", "bad-request", str(err))
+
+    def _status(self) -> Answer:
+        upstream = self.upstream
+        status = UpstreamStatus(
+            name=upstream.settings.name,
+            service=upstream.settings.service,
+            snapshots=tuple(sorted(upstream.behavior.snapshots)),
+            inflight=upstream.load.inflight(upstream.behavior, monotonic()),
+            slots=upstream.settings.slots,
+            draining=upstream.behavior.draining,
+        )
+        return Answer("200 OK", msgspec.json.encode(status))
+
+    def _write(self, answer: Answer, start: StartResponse, handler: Any) -> Iterable[bytes]:
+        self.executor.wait_while_frozen()
+        start(answer.status, self._headers(answer))
+        if not answer.truncated:
+            return [answer.body]
+        handler.close_connection = True
+        return [answer.body[: len(answer.body) // 2]]
+
+    def _headers(self, answer: Answer) -> list[tuple[str, str]]:
+        upstream = self.upstream
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(answer.body))),
+            (HEADER_LOAD, upstream.load.report(upstream.behavior, monotonic())),
+        ]
+        if answer.request_id:
+            headers.append((HEADER_REQUEST_ID, answer.request_id))
+        if answer.snapshot:
+            headers.append((HEADER_SNAPSHOT, answer.snapshot))
+        if answer.not_run:
+            headers.append((HEADER_NOT_RUN, "1"))
+        if upstream.behavior.draining:
+            headers.append((HEADER_DRAINING, "1"))
+        return headers
+
+
+def _refuse_unread(status: str, code: str, text: str = "") -> Answer:
+    body = msgspec.json.encode(Refusal(code, text or code))
+    return Answer(status, body, not_run=True)
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/upstream/close_watch.py
@@ -0,0 +1,44 @@
+"""Notices that a caller closed its connection while its request waits."""
+
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any, Self
+
+import gevent
+
+from spindle_devkit.sockets import peer_closed
+
+_EVENT_READ = 1
+
+
+class CloseWatch:
+    """Calls back once when the peer of a socket closes it.
+
+    Used around the wait for a slot and for the service time:
+
+        with CloseWatch(sock, work.cancel):
+            work.changed.wait()
+    """
+
+    def __init__(self, sock: Any, on_close: Callable[[], None]) -> None:
+        self.sock = sock
+        self.on_close = on_close
+        self.watcher = gevent.get_hub().loop.io(sock.fileno(), _EVENT_READ)
+
+    def __enter__(self) -> Self:
+        self.watcher.start(self._readable)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.watcher.stop()
+        self.watcher.close()
+
+    def _readable(self) -> None:
+        self.watcher.stop()
+        if peer_closed(self.sock):
+            self.on_close()
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/upstream/connection_server.py
@@ -0,0 +1,42 @@
+"""The listening side of a stand-in upstream."""
+
+from typing import Any
+
+from gevent.pywsgi import WSGIServer
+
+from spindle_devkit.sockets import reset
+from spindle_devkit.upstream.application import Application
+from spindle_devkit.upstream.connection_handler import ConnectionHandler
+from spindle_devkit.upstream.standin_upstream import StandinUpstream
+
+
+class ConnectionServer(WSGIServer):
+    """A WSGI server that closes each connection over the cap of its upstream."""
+
+    def __init__(self, upstream: StandinUpstream) -> None:
+        settings = upstream.settings
+        super().__init__(
+            (settings.host, settings.port),
+            Application(upstream),
+            log=None,
+            handler_class=ConnectionHandler,
+        )
+        self.upstream = upstream
+        self.connect_ms = settings.connect_ms
+
+    def handle(self, sock: Any, address: Any) -> None:
+        """Serve one connection, or reset it when the cap is reached."""
+        counters = self.upstream.counters
+        if counters.connections >= self.upstream.settings.connections:
+            counters.connections_refused += 1
+            reset(sock)
+            return
+        counters.connections += 1
+        counters.connections_opened += 1
+        counters.connections_max = max(counters.connections_max, counters.connections)
+        self.upstream.sockets.add(sock)
+        try:
+            super().handle(sock, address)
+        finally:
+            self.upstream.sockets.discard(sock)
+            counters.connections -= 1
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/upstream/const.py
@@ -0,0 +1,48 @@
+"""Constants of the stand-in upstream."""
+
+SECTION_STANDIN = "standin"
+SECTION_UPSTREAM_PREFIX = "upstream "
+
+CONF_HOST = "host"
+CONF_PORT = "port"
+CONF_SERVICE = "service"
+CONF_SLOTS = "slots"
+CONF_CONNECTIONS = "connections"
+CONF_QUEUE = "queue"
+CONF_CONNECT_MS = "connect-ms"
+CONF_MEDIAN_MS = "median-ms"
+CONF_SIGMA = "sigma"
+CONF_STRAGGLER_RATIO = "straggler-ratio"
+CONF_STRAGGLER_FACTOR = "straggler-factor"
+CONF_COLD_START_S = "cold-start-s"
+CONF_COLD_FACTOR = "cold-factor"
+CONF_SNAPSHOTS = "snapshots"
+CONF_ROWS = "rows"
+CONF_SEED = "seed"
+
+DEFAULT_HOST = "127.0.0.1"
+DEFAULT_SLOTS = 2
+DEFAULT_CONNECTIONS = 25
+DEFAULT_QUEUE = 64
+DEFAULT_CONNECT_MS = 0.0
+DEFAULT_MEDIAN_MS = 10.0
+DEFAULT_SIGMA = 0.1
+DEFAULT_STRAGGLER_RATIO = 0.0
+DEFAULT_STRAGGLER_FACTOR = 20.0
+DEFAULT_COLD_START_S = 0.0
+DEFAULT_COLD_FACTOR = 5.0
+DEFAULT_SNAPSHOTS = "1.1"
+DEFAULT_ROWS = 1
+DEFAULT_SEED = 1
+
+PATH_QUERY = "/v1/query"
+PATH_RUN = "/v1/run"
+PATH_STATUS = "/v1/status"
+PATH_STANDIN = "/v1/standin"
+PATH_EXECUTIONS = "/v1/standin/executions"
+
+MAX_BODY_BYTES = 1 << 20
+EXECUTIONS_KEPT = 20_000
+LOAD_HISTORY_KEPT = 4_096
+SWAP_WAIT_S = 0.5
+CLOSE_GRACE_S = 0.5
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/upstream/control_application.py
@@ -0,0 +1,57 @@
+"""The control side of a stand-in process over HTTP."""
+
+import urllib.parse
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from spindle_devkit.upstream import const
+from spindle_devkit.upstream.behavior_change import BehaviorChange
+from spindle_devkit.upstream.executions_report import ExecutionsReport
+from spindle_devkit.upstream.refusal import Refusal
+from spindle_devkit.upstream.served_upstream import ServedUpstream
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class ControlApplication:
+    """Changes the behaviour of the stand-in upstreams and tells what they ran."""
+
+    def __init__(self, served: dict[str, ServedUpstream]) -> None:
+        self.served = served
+
+    def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Answer one request of a test or an experiment."""
+        try:
+            body = self._answer(environ)
+        except (msgspec.DecodeError, KeyError) as err:
+            start("400 Bad Request", [("Content-Type", "application/json")])
+            return [msgspec.json.encode(Refusal("bad-request", str(err)))]
+        start("200 OK", [("Content-Type", "application/json")])
+        return [body]
+
+    def _answer(self, environ: dict[str, Any]) -> bytes:
+        path = environ["PATH_INFO"]
+        if path == const.PATH_STANDIN:
+            self._change(environ["wsgi.input"].read())
+            return b"{}"
+        if path == const.PATH_EXECUTIONS:
+            query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+            return msgspec.json.encode(self._report(query.get("upstream", [""])[0]))
+        raise KeyError(f"no such path {path}")
+
+    def _change(self, body: bytes) -> None:
+        change = msgspec.json.decode(body, type=BehaviorChange)
+        for served in self._chosen(change.upstream):
+            served.apply(change)
+
+    def _report(self, name: str) -> ExecutionsReport:
+        chosen = [served.upstream for served in self._chosen(name)]
+        executions = [item for upstream in chosen for item in upstream.executions]
+        executions.sort(key=lambda item: item.arrived_ms)
+        counters = {upstream.settings.name: upstream.counters for upstream in chosen}
+        return ExecutionsReport(counters, executions)
+
+    def _chosen(self, name: str) -> list[ServedUpstream]:
+        return [self.served[name]] if name else list(self.served.values())
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/upstream/executions_report.py
@@ -0,0 +1,13 @@
+"""What stand-in upstreams ran."""
+
+import msgspec
+
+from spindle_devkit.upstream.counters import Counters
+from spindle_devkit.upstream.execution import Execution
+
+
+class ExecutionsReport(msgspec.Struct, frozen=True):
+    """The totals by upstream name and the newest executions in order of arrival."""
+
+    counters: dict[str, Counters]
+    executions: list[Execution]
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/upstream/executor.py
@@ -0,0 +1,212 @@
+"""Runs the requests of one stand-in upstream in its slots."""
+
+import dataclasses
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import msgspec
+
+from spindle_decisions.wire.headers import (
+    HEADER_DEADLINE_MS,
+    HEADER_REQUEST_ID,
+    HEADER_SNAPSHOT,
+)
+from spindle_devkit.upstream.answer import Answer
+from spindle_devkit.upstream.close_watch import CloseWatch
+from spindle_devkit.upstream.execution import Execution
+from spindle_devkit.upstream.execution_state import ExecutionState
+from spindle_devkit.upstream.query_answer import QueryAnswer
+from spindle_devkit.upstream.query_request import QueryRequest
+from spindle_devkit.upstream.refusal import Refusal
+from spindle_devkit.upstream.row import Row
+from spindle_devkit.upstream.run_answer import RunAnswer
+from spindle_devkit.upstream.run_request import RunRequest
+from spindle_devkit.upstream.standin_upstream import StandinUpstream
+from spindle_devkit.upstream.work import Work
+
+KIND_QUERY = "query"
+KIND_RUN = "run"
+
+_MS_PER_S = 1000.0
+_FOREIGN_ID = "not-the-id-you-sent"
+
+monotonic = time.monotonic
+
+
+def environ_key(header: str) -> str:
+    """Return the WSGI environment key of a header."""
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+_ENVIRON_REQUEST_ID = environ_key(HEADER_REQUEST_ID)
+_ENVIRON_SNAPSHOT = environ_key(HEADER_SNAPSHOT)
+_ENVIRON_DEADLINE_MS = environ_key(HEADER_DEADLINE_MS)
+
+
+class Executor:
+    """Decides on each arrived request, runs it and records what became of it."""
+
+    def __init__(self, upstream: StandinUpstream) -> None:
+        self.upstream = upstream
+        self.runs = 0
+
+    def wait_while_frozen(self) -> None:
+        """Wait until the upstream is not frozen."""
+        while (left_s := self.upstream.behavior.freeze_until - monotonic()) > 0:
+            gevent.sleep(left_s)
+
+    def query(self, environ: dict[str, Any], body: bytes, handler: Any) -> Answer | None:
+        """Run a query; return `None` when the caller closed the connection."""
+        request = msgspec.json.decode(body, type=QueryRequest)
+        execution = self._record(KIND_QUERY, "", environ)
+        refusal = self._refuse_snapshot(execution) or self._refuse(request.service, execution)
+        if refusal:
+            return refusal
+        answer = self._execute(execution, handler, lambda: self._rows(request, execution))
+        return answer and self._spoil(answer)
+
+    def run(self, environ: dict[str, Any], body: bytes, handler: Any) -> Answer | None:
+        """Run a non-idempotent request; once it holds a slot, nothing cancels it."""
+        request = msgspec.json.decode(body, type=RunRequest)
+        execution = self._record(KIND_RUN, request.key, environ)
+        refusal = self._refuse(request.service, execution)
+        if refusal:
+            return refusal
+        answer = self._execute(execution, handler, lambda: self._outcome(request))
+        return answer and self._spoil(answer)
+
+    def _record(self, kind: str, key: str, environ: dict[str, Any]) -> Execution:
+        remaining = environ.get(_ENVIRON_DEADLINE_MS)
+        execution = Execution(
+            upstream=self.upstream.settings.name,
+            kind=kind,
+            request_id=environ.get(_ENVIRON_REQUEST_ID, ""),
+            snapshot=environ.get(_ENVIRON_SNAPSHOT, ""),
+            key=key,
+            remaining_ms=float(remaining) if remaining else None,
+            arrived_ms=_wall_ms(),
+        )
+        self.upstream.counters.arrived += 1
+        self.upstream.executions.append(execution)
+        return execution
+
+    def _refuse_snapshot(self, execution: Execution) -> Answer | None:
+        if execution.snapshot in self.upstream.behavior.snapshots:
+            return None
+        self.upstream.counters.refused_snapshot += 1
+        return _refused(execution, "409 Conflict", "snapshot-not-held")
+
+    def _refuse(self, service: str, execution: Execution) -> Answer | None:
+        behavior, counters = self.upstream.behavior, self.upstream.counters
+        if service != self.upstream.settings.service:
+            return _refused(execution, "404 Not Found", "unknown-service")
+        if behavior.draining:
+            counters.refused_draining += 1
+            return _refused(execution, "503 Service Unavailable", "draining")
+        if behavior.shed_ratio > 0 and self.upstream.shed_rng.random() < behavior.shed_ratio:
+            counters.refused_shed += 1
+            return _refused(execution, "503 Service Unavailable", "shed")
+        return None
+
+    def _execute(
+        self, execution: Execution, handler: Any, result: Callable[[], bytes]
+    ) -> Answer | None:
+        work = Work(execution)
+        if not self.upstream.slots.offer(work):
+            self.upstream.counters.refused_shed += 1
+            return _refused(execution, "503 Service Unavailable", "shed")
+        self.upstream.note_load()
+        with CloseWatch(handler.socket, work.cancel):
+            refusal = self._wait_for_slot(work)
+            if refusal or not work.granted:
+                return refusal
+            return self._serve(work, result)
+
+    def _wait_for_slot(self, work: Work) -> Answer | None:
+        execution, upstream = work.execution, self.upstream
+        remaining_ms = execution.remaining_ms
+        work.changed.wait(None if remaining_ms is None else remaining_ms / _MS_PER_S)
+        if work.granted:
+            return None
+        upstream.slots.abandon(work)
+        upstream.note_load()
+        if work.cancelled:
+            execution.state = ExecutionState.CANCELLED_QUEUED
+            upstream.counters.cancelled_queued += 1
+            return None
+        upstream.counters.refused_deadline += 1
+        return _refused(execution, "504 Gateway Timeout", "deadline-exceeded")
+
+    def _serve(self, work: Work, result: Callable[[], bytes]) -> Answer | None:
+        execution, upstream = work.execution, self.upstream
+        upstream.counters.executed += 1
+        execution.state = ExecutionState.RUNNING
+        execution.started_ms = _wall_ms()
+        body = result()
+        try:
+            done = self._pass_time(work)
+        finally:
+            upstream.slots.release()
+            upstream.note_load()
+        execution.finished_ms = _wall_ms()
+        if not done:
+            execution.state = ExecutionState.CANCELLED_RUNNING
+            upstream.counters.cancelled_running += 1
+            return None
+        execution.state = ExecutionState.FINISHED
+        upstream.counters.finished += 1
+        return Answer("200 OK", body, execution.request_id, execution.snapshot)
+
+    def _pass_time(self, work: Work) -> bool:
+        duration_s = self.upstream.times.draw_s(self.upstream.behavior, monotonic())
+        if work.execution.kind == KIND_RUN:
+            gevent.sleep(duration_s)
+            return True
+        if not work.cancelled:
+            work.changed.clear()
+            work.changed.wait(duration_s)
+        return not work.cancelled
+
+    def _rows(self, request: QueryRequest, execution: Execution) -> bytes:
+        service, snapshot = request.service, execution.snapshot
+        rows = tuple(
+            Row(service, snapshot, f"{service}/{number}", f"{number}@{snapshot}", request.query)
+            for number in range(self.upstream.settings.rows)
+        )
+        return msgspec.json.encode(QueryAnswer(rows))
+
+    def _outcome(self, request: RunRequest) -> bytes:
+        self.runs += 1
+        name = self.upstream.settings.name
+        return msgspec.json.encode(
+            RunAnswer(request.service, request.key, name, self.runs, request.body)
+        )
+
+    def _spoil(self, answer: Answer) -> Answer:
+        behavior = self.upstream.behavior
+        if behavior.late_next > 0:
+            behavior.late_next -= 1
+            gevent.sleep(behavior.late_s)
+        if behavior.swap_next > 0:
+            behavior.swap_next -= 1
+            answer = self.upstream.swaps.exchange(answer)
+        if behavior.wrong_id_next > 0:
+            behavior.wrong_id_next -= 1
+            answer = dataclasses.replace(answer, request_id=_FOREIGN_ID)
+        if behavior.truncate_next > 0:
+            behavior.truncate_next -= 1
+            answer = dataclasses.replace(answer, truncated=True)
+        return answer
+
+
+def _refused(execution: Execution, status: str, code: str) -> Answer:
+    execution.state = ExecutionState.REFUSED
+    execution.refusal = code
+    body = msgspec.json.encode(Refusal(code, code, execution.request_id))
+    return Answer(status, body, execution.request_id, execution.snapshot, not_run=True)
+
+
+def _wall_ms() -> float:
+    return time.time() * _MS_PER_S
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/upstream/load_reporter.py
@@ -0,0 +1,31 @@
+"""What a stand-in upstream says about its load."""
+
+from collections import deque
+
+from spindle_devkit.upstream import const
+from spindle_devkit.upstream.behavior import Behavior
+
+
+class LoadReporter:
+    """Remembers the number in flight over time, so that reports can lag or lie."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.history: deque[tuple[float, int]] = deque([(0.0, 0)], maxlen=const.LOAD_HISTORY_KEPT)
+
+    def note(self, now: float, inflight: int) -> None:
+        """Remember the number in flight at a monotonic second."""
+        self.history.append((now, inflight))
+
+    def inflight(self, behavior: Behavior, now: float) -> int:
+        """Return the number in flight to be reported."""
+        if behavior.reported_load is not None:
+            return behavior.reported_load
+        if behavior.load_lag_s <= 0:
+            return self.history[-1][1]
+        then = now - behavior.load_lag_s
+        return next((count for at, count in reversed(self.history) if at <= then), 0)
+
+    def report(self, behavior: Behavior, now: float) -> str:
+        """Return the load header's value, `inflight/slots`."""
+        return f"{self.inflight(behavior, now)}/{self.slots}"
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/upstream/service_times.py
@@ -0,0 +1,37 @@
+"""Seeded service times."""
+
+import math
+import random
+
+from spindle_devkit.upstream.behavior import Behavior
+
+_MS_PER_S = 1000.0
+
+
+class ServiceTimes:
+    """Draws service times; equal seeds and parameters draw equal sequences."""
+
+    def __init__(
+        self, rng: random.Random, sigma: float, cold_start_s: float, cold_factor: float
+    ) -> None:
+        self.rng = rng
+        self.sigma = sigma
+        self.cold_start_s = cold_start_s
+        self.cold_factor = cold_factor
+
+    def draw_s(self, behavior: Behavior, now: float) -> float:
+        """Return the service time in seconds of the next execution that starts at `now`.
+
+        Two numbers are taken from the random source at every call, so changed
+        parameters do not shift the draws that follow.
+        """
+        spread = math.exp(self.sigma * self.rng.gauss(0.0, 1.0))
+        straggles = self.rng.random() < behavior.straggler_ratio
+        factor = behavior.straggler_factor if straggles else 1.0
+        return behavior.median_ms / _MS_PER_S * spread * factor * self._cold(behavior, now)
+
+    def _cold(self, behavior: Behavior, now: float) -> float:
+        left_s = behavior.cold_until - now
+        if left_s <= 0 or self.cold_start_s <= 0:
+            return 1.0
+        return 1.0 + (self.cold_factor - 1.0) * min(1.0, left_s / self.cold_start_s)
