--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,176 @@
+"""A deployment of real processes under test."""
+
+import contextlib
+import os
+import pathlib
+import shutil
+import time
+from collections.abc import Callable, Iterator
+from typing import TypeVar
+
+import msgspec
+
+from bench import files
+from bench.operator_client import OperatorAnswer, OperatorClient
+from bench.plan import DeploymentPlan, InstancePlan
+from bench.process import Process
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+POLL_S = 0.05
+KEY = b"bench-key-of-32-bytes-0123456789"
+
+ValueT = TypeVar("ValueT")
+
+
+class Deployment:
+    """Starts, kills and restarts the processes of a plan in one folder."""
+
+    def __init__(self, plan: DeploymentPlan, folder: pathlib.Path) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.processes: dict[str, Process] = {}
+        self.instances: dict[str, InstancePlan] = {
+            item.name: item for item in (*plan.controls, *plan.entries)
+        }
+        (folder / "key").write_bytes(KEY)
+
+    def start(self) -> None:
+        """Start everything, found the deployment, apply note 1 and wait until it is ready."""
+        self.start_standins()
+        for control in self.plan.controls:
+            self.start_instance(control.name)
+        self.bootstrap()
+        for entry in self.plan.entries:
+            self.start_instance(entry.name)
+        self.apply(files.founding_note(self.plan))
+        for entry in self.plan.entries:
+            self.wait_ready(entry.name)
+
+    def start_standins(self) -> None:
+        """Start all stand-in processes."""
+        for name in sorted({item.process for item in self.plan.upstreams}):
+            own = tuple(item for item in self.plan.upstreams if item.process == name)
+            path = self.folder / f"{name}.ini"
+            path.write_text(files.standin_settings(own, self.plan))
+            self._start(name, "spindle_devkit.upstream", ["--config", str(path)])
+
+    def start_instance(self, name: str) -> None:
+        """Start, or start again, a control or entry instance."""
+        path = self.folder / f"{name}.ini"
+        path.write_text(files.instance_settings(self.plan, self.instances[name], self.folder))
+        self._start(name, "spindle_daemon", ["--config", str(path)])
+
+    def bootstrap(self) -> None:
+        """Found the agreement between all control instances and wait for a leader."""
+        members = [
+            {"name": control.name, "folder_id": identity.body["folder_id"]}
+            for control in self.plan.controls
+            for identity in [self.wait_answer(control.name, "/v1/identity")]
+        ]
+        body = msgspec.json.encode({"members": members})
+        for control in self.plan.controls:
+            answer = self.operator(control.name).post("/v1/bootstrap", body)
+            assert answer.status == 200, answer
+        self.wait_until(lambda: self.leader() or None, "a leader")
+
+    def leader(self) -> str:
+        """Return the name of the control instance that leads, or an empty string."""
+        for control in self.plan.controls:
+            with contextlib.suppress(OSError):
+                body = self.operator(control.name, 1.0).get("/v1/identity").body
+                if body["role"] == "leader":
+                    return control.name
+        return ""
+
+    def apply(self, note: str, control: str | None = None) -> OperatorAnswer:
+        """Apply a release note through a control instance."""
+        name = control or self.plan.controls[0].name
+        return self.operator(name).post("/v1/notes", note.encode())
+
+    def operator(self, name: str, timeout_s: float = 10.0) -> OperatorClient:
+        """Return a client for the admin endpoint of an instance."""
+        return OperatorClient(self.instances[name].admin_port, KEY, timeout_s)
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until an instance says that it is ready."""
+
+        def ready() -> bool | None:
+            answer = self.operator(name, 1.0).get("/readyz")
+            return True if answer.status == 200 else None
+
+        self.wait_until(ready, f"{name} to be ready")
+
+    def wait_answer(self, name: str, path: str) -> OperatorAnswer:
+        """Wait until an instance answers a request with status 200."""
+
+        def ask() -> OperatorAnswer | None:
+            answer = self.operator(name, 1.0).get(path)
+            return answer if answer.status == 200 else None
+
+        return self.wait_until(ask, f"{path} of {name}")
+
+    def wait_until(
+        self,
+        probe: Callable[[], ValueT | None],
+        what: str,
+        timeout_s: float = START_TIMEOUT_S,
+    ) -> ValueT:
+        """Call `probe` until it returns something; raise `TimeoutError` with the logs' end."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            with contextlib.suppress(OSError, msgspec.DecodeError):
+                value = probe()
+                if value is not None:
+                    return value
+            time.sleep(POLL_S)
+        raise TimeoutError(f"waited {timeout_s:.0f} s for {what}; {self.log_tails()}")
+
+    def wipe(self, name: str) -> None:
+        """Empty the data folder of a control instance that does not run."""
+        shutil.rmtree(self.folder / f"data-{name}")
+
+    def stop(self) -> dict[str, int]:
+        """Stop everything as planned, entries first; return the exit codes."""
+        codes: dict[str, int] = {}
+        entries = [item.name for item in self.plan.entries]
+        others = [name for name in self.processes if name not in entries]
+        for names in (entries, others):
+            started = [name for name in names if name in self.processes]
+            running = [name for name in started if self.processes[name].running]
+            for name in running:
+                self.processes[name].terminate()
+            for name in running:
+                codes[name] = self.processes[name].wait(STOP_TIMEOUT_S)
+        return codes
+
+    def kill_all(self) -> None:
+        """End every process at once."""
+        for process in self.processes.values():
+            process.wake()
+            if process.running:
+                process.kill()
+
+    def log_tails(self, size: int = 1500) -> str:
+        """Return the ends of all logs, for messages about failures."""
+        tails = []
+        for path in sorted(self.folder.glob("*.log")):
+            tails.append(f"--- {path.name}\n{path.read_text(errors='replace')[-size:]}")
+        return "\n".join(tails)
+
+    def _start(self, name: str, module: str, arguments: list[str]) -> None:
+        process = Process(name, module, arguments, self.folder / f"{name}.log")
+        process.start()
+        self.processes[name] = process
+
+
+@contextlib.contextmanager
+def running(plan: DeploymentPlan, folder: pathlib.Path) -> Iterator[Deployment]:
+    """Run a whole deployment; everything is killed at the end, whatever happened."""
+    os.makedirs(folder, exist_ok=True)
+    deployment = Deployment(plan, folder)
+    try:
+        deployment.start()
+        yield deployment
+    finally:
+        deployment.kill_all()
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/__main__.py
@@ -0,0 +1,49 @@
+"""The program `spindled`."""
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+import pathlib  # noqa: E402
+import sys  # noqa: E402
+
+import typer  # noqa: E402
+
+from spindle_daemon.daemon import read_key, run  # noqa: E402
+from spindle_daemon.helpers.log_setup import setup_logging  # noqa: E402
+from spindle_daemon.settings.loader import load_settings  # noqa: E402
+from spindle_decisions.exceptions import SpindleError  # noqa: E402
+
+EXIT_BAD_SETTINGS = 2
+EXIT_FAILED = 1
+
+
+def spindled(
+    config: pathlib.Path = typer.Option(..., "--config", help="Settings file (INI)."),
+    check: bool = typer.Option(False, "--check", help="Check the settings and exit."),
+) -> None:
+    """Run one instance of the query tier with the role named in its settings."""
+    try:
+        settings = load_settings(config)
+        read_key(settings)
+    except SpindleError as err:
+        typer.echo(f"{config}: {err.code}: {err}", err=True)
+        raise typer.Exit(EXIT_BAD_SETTINGS) from err
+    if check:
+        typer.echo(f"{config}: good")
+        return
+    setup_logging(settings.instance.log_level, settings.instance.name)
+    try:
+        run(settings)
+    except SpindleError as err:
+        typer.echo(f"{settings.instance.name}: {err.code}: {err}", err=True)
+        raise typer.Exit(EXIT_FAILED) from err
+
+
+def main() -> None:
+    """Run the command line."""
+    typer.run(spindled)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/control/folder_writer.py
@@ -0,0 +1,59 @@
+"""Writing to the data folder off the loop."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+from gevent.threadpool import ThreadPool
+
+from spindle_daemon.components.control.const import SLOW_SYNC_S
+from spindle_daemon.core.clock import Clock
+from spindle_daemon.storage.data_folder import DataFolder
+from spindle_decisions.consensus.persist_batch import PersistBatch
+from spindle_decisions.consensus.snapshot import Snapshot
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class FolderWriter:
+    """Runs all writes of one data folder, one after the other, on one pool thread.
+
+    The loop goes on while the disk works. With `group_commit` off every entry
+    is synced by itself, which exists to measure what grouping gains.
+    """
+
+    def __init__(
+        self,
+        folder: DataFolder,
+        clock: Clock,
+        group_commit: bool,
+        on_slow: Callable[[float], None],
+    ) -> None:
+        self.folder = folder
+        self.clock = clock
+        self.group_commit = group_commit
+        self.on_slow = on_slow
+        self.pool = ThreadPool(1)
+        self.syncs = 0
+
+    def persist(self, batch: PersistBatch) -> None:
+        """Write and sync a batch; raises `SyncFailedError`."""
+        started = self.clock.now()
+        for part in self._parts(batch):
+            self.pool.apply(self.folder.persist, (part,))
+            self.syncs += 1
+        took = self.clock.now() - started
+        if took > SLOW_SYNC_S:
+            _LOGGER.warning("storage: sync took %.0f ms", took * 1000)
+            self.on_slow(took)
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Write and sync a snapshot; raises `SyncFailedError`."""
+        self.pool.apply(self.folder.save_snapshot, (snapshot,))
+
+    def _parts(self, batch: PersistBatch) -> list[PersistBatch]:
+        if self.group_commit or len(batch.entries) < 2:
+            return [batch]
+        first = msgspec.structs.replace(batch, entries=batch.entries[:1])
+        rest = [PersistBatch(batch.seq, entries=(entry,)) for entry in batch.entries[1:]]
+        return [first, *rest]
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/control/operator_api.py
@@ -0,0 +1,165 @@
+"""The operators' endpoints of a control instance."""
+
+import logging
+
+import msgspec
+
+from spindle_daemon.components.admin.admin_app import AdminApp
+from spindle_daemon.components.admin.admin_request import AdminRequest
+from spindle_daemon.components.control.const import NOTE_TIMEOUT_S
+from spindle_daemon.components.control.instance_registry import InstanceRegistry
+from spindle_daemon.components.control.raft_driver import RaftDriver
+from spindle_daemon.components.control.status_view import build_status
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.json_response import JsonResponse, json_ok
+from spindle_decisions.commands.apply_note import ApplyNote
+from spindle_decisions.commands.note_applied import NoteApplied
+from spindle_decisions.commands.note_refused import NoteRefused
+from spindle_decisions.consensus.member import Member
+from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.exceptions import BadRequestError, NoteError
+from spindle_decisions.notes.applier import apply_note
+from spindle_decisions.notes.parser import parse_note
+
+_LOGGER = logging.getLogger(__name__)
+
+CODE_NUMBER_TAKEN = "note-number-taken"
+STATUS_CONFLICT = 409
+STATUS_UNPROCESSABLE = 422
+
+
+class CheckedNote(msgspec.Struct, frozen=True):
+    """The answer to a check: what the note would lead to."""
+
+    number: int
+    digest: str
+    version: int
+
+
+class IdentityView(msgspec.Struct, frozen=True):
+    """Who a control instance is in the agreement."""
+
+    name: str
+    folder_id: str
+    blank: bool
+    role: str
+    term: int
+    leader: str
+    commit_index: int
+    applied_index: int
+    membership: MembershipSet
+
+
+class FoundingMember(msgspec.Struct, frozen=True):
+    """A control instance with which a deployment begins."""
+
+    name: str
+    folder_id: str
+
+
+class Founding(msgspec.Struct, frozen=True):
+    """The body of a bootstrap request."""
+
+    members: tuple[FoundingMember, ...]
+
+
+class OperatorApi:
+    """Answers operators from the agreed state, and puts their notes into the log."""
+
+    def __init__(
+        self, spindle: Spindle, driver: RaftDriver, registry: InstanceRegistry, folder_id: str
+    ) -> None:
+        self.spindle = spindle
+        self.driver = driver
+        self.registry = registry
+        self.folder_id = folder_id
+
+    def register(self, app: AdminApp) -> None:
+        """Add the routes."""
+        app.route("POST", "/v1/notes", self.apply)
+        app.route("POST", "/v1/notes/check", self.check)
+        app.route("GET", "/v1/notes", self.notes)
+        app.route("GET", "/v1/notes/*", self.show)
+        app.route("GET", "/v1/status", self.status)
+        app.route("GET", "/v1/members", self.members)
+        app.route("GET", "/v1/instances", self.instances)
+        app.route("GET", "/v1/identity", self.identity)
+        app.route("POST", "/v1/bootstrap", self.bootstrap)
+
+    def apply(self, request: AdminRequest) -> JsonResponse:
+        """Have a release note agreed; the same note again gets the same answer."""
+        text = _text(request.body)
+        parse_note(text)
+        reply = self.spindle.control.propose(ApplyNote(text, 0), NOTE_TIMEOUT_S)
+        if isinstance(reply.result, NoteApplied):
+            return json_ok(reply.result)
+        if isinstance(reply.result, NoteRefused):
+            taken = reply.result.code == CODE_NUMBER_TAKEN
+            status = STATUS_CONFLICT if taken else STATUS_UNPROCESSABLE
+            return JsonResponse(status, msgspec.json.encode(reply.result))
+        raise NoteError(f"unexpected result {type(reply.result).__name__}")
+
+    def check(self, request: AdminRequest) -> JsonResponse:
+        """Check a release note against the state that is applied here; change nothing."""
+        note = parse_note(_text(request.body))
+        catalog = apply_note(self.driver.state.catalog, note)
+        return json_ok(CheckedNote(note.number, note.digest, catalog.version))
+
+    def notes(self, _request: AdminRequest) -> JsonResponse:
+        """List the applied notes."""
+        return json_ok(self.driver.state.notes())
+
+    def show(self, request: AdminRequest) -> JsonResponse:
+        """Show one note by number."""
+        for record in self.driver.state.notes():
+            if str(record.number) == request.last_part:
+                return json_ok(record)
+        raise BadRequestError(f"no note with number {request.last_part}")
+
+    def status(self, _request: AdminRequest) -> JsonResponse:
+        """Tell per data centre which version is in force and who has not confirmed it."""
+        return json_ok(build_status(self.spindle, self.driver, self.registry))
+
+    def members(self, _request: AdminRequest) -> JsonResponse:
+        """List the control instances in the agreement."""
+        return json_ok(self.driver.node.membership.members)
+
+    def instances(self, _request: AdminRequest) -> JsonResponse:
+        """List all instances with their admin addresses."""
+        return json_ok((self.registry.self_entry(), *self.registry.table.live()))
+
+    def identity(self, _request: AdminRequest) -> JsonResponse:
+        """Tell who this control instance is."""
+        node = self.driver.node
+        view = IdentityView(
+            name=self.spindle.settings.instance.name,
+            folder_id=self.folder_id,
+            blank=node.role.name == "BLANK",
+            role=node.role.name.lower(),
+            term=node.term,
+            leader=node.leader or "",
+            commit_index=node.commit_index,
+            applied_index=self.driver.applied_index,
+            membership=node.membership,
+        )
+        return json_ok(view)
+
+    def bootstrap(self, request: AdminRequest) -> JsonResponse:
+        """Begin a deployment with the given control instances; refused unless blank."""
+        try:
+            founding = msgspec.json.decode(request.body, type=Founding)
+        except msgspec.MsgspecError as err:
+            raise BadRequestError(f"bootstrap request is malformed: {err}") from err
+        members = tuple(
+            sorted(Member(item.name, item.folder_id, voter=True) for item in founding.members)
+        )
+        self.driver.node.bootstrap(MembershipSet(members))
+        self.driver.pump()
+        return json_ok(members)
+
+
+def _text(body: bytes) -> str:
+    try:
+        return body.decode("utf-8")
+    except UnicodeDecodeError as err:
+        raise NoteError(f"the note is not UTF-8: {err}") from err
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/control/status_view.py
@@ -0,0 +1,77 @@
+"""The status of a deployment as a control instance sees it."""
+
+import msgspec
+
+from spindle_daemon.components.control.instance_registry import InstanceRegistry
+from spindle_daemon.components.control.raft_driver import RaftDriver
+from spindle_daemon.core.spindle import Spindle
+from spindle_decisions.wire.instance_report import InstanceReport
+
+
+class DataCenterStatus(msgspec.Struct, frozen=True):
+    """The entry instances of one data centre.
+
+    `version` is the lowest version that all of them confirmed; `unconfirmed`
+    names those that have not confirmed the newest one, `silent` those that
+    are suspected.
+    """
+
+    data_center: str
+    version: int
+    instances: int
+    in_force: bool
+    unconfirmed: tuple[str, ...]
+    silent: tuple[str, ...]
+    oldest_age_ms: int
+
+
+class Status(msgspec.Struct, frozen=True):
+    """The version that is accepted, and where it is in force."""
+
+    control: str
+    role: str
+    term: int
+    leader: str
+    stale: bool
+    quorum_age_ms: int
+    version: int
+    digest: str
+    applied_index: int
+    data_centers: tuple[DataCenterStatus, ...]
+
+
+def build_status(spindle: Spindle, driver: RaftDriver, registry: InstanceRegistry) -> Status:
+    """Put the status together from the agreed state and the heartbeats heard."""
+    now = spindle.clock.now()
+    catalog = driver.state.catalog
+    node = driver.node
+    reports = registry.table.reports(now)
+    names = {item.name for item in catalog.data_centers}
+    names.update(report.live.data_center for report in reports)
+    return Status(
+        control=spindle.settings.instance.name,
+        role=node.role.name.lower(),
+        term=node.term,
+        leader=node.leader or "",
+        stale=node.is_stale(now),
+        quorum_age_ms=int(min(node.quorum_age(now), 1e9) * 1000),
+        version=catalog.version,
+        digest=catalog.digest(),
+        applied_index=driver.applied_index,
+        data_centers=tuple(_data_center(name, catalog.version, reports) for name in sorted(names)),
+    )
+
+
+def _data_center(name: str, version: int, reports: tuple[InstanceReport, ...]) -> DataCenterStatus:
+    own = [report for report in reports if report.live.data_center == name]
+    unconfirmed = tuple(item.live.instance for item in own if item.config_version < version)
+    silent = tuple(item.live.instance for item in own if item.suspected)
+    return DataCenterStatus(
+        data_center=name,
+        version=min((item.config_version for item in own), default=0),
+        instances=len(own),
+        in_force=bool(own) and not unconfirmed and not silent,
+        unconfirmed=unconfirmed,
+        silent=silent,
+        oldest_age_ms=max((item.age_ms for item in own), default=0),
+    )
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/control_link/catalog_sender.py
@@ -0,0 +1,58 @@
+"""Answers to requests for the catalog, given by control and entry instances alike."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from spindle_daemon.mesh.transport import Transport
+from spindle_decisions.catalog.catalog import Catalog
+from spindle_decisions.wire.config_chunk import ConfigChunk
+from spindle_decisions.wire.config_delta import ConfigDelta
+from spindle_decisions.wire.fetch_config import FetchConfig
+
+CHUNK_BYTES = 256 * 1024
+
+NotesBetween = Callable[[int, int], tuple[str, ...] | None]
+
+
+def no_notes(_from_version: int, _to_version: int) -> tuple[str, ...] | None:
+    """Stand for an instance that keeps no notes and always sends the whole catalog."""
+    return None
+
+
+class CatalogSender:
+    """Sends the notes since a version when they are kept, else the whole in chunks."""
+
+    def __init__(
+        self, transport: Transport, catalog: Callable[[], Catalog], notes_between: NotesBetween
+    ) -> None:
+        self.transport = transport
+        self.catalog = catalog
+        self.notes_between = notes_between
+
+    def handle_fetch(self, _sender: str, fetch: FetchConfig) -> None:
+        """Answer a request; an instance that is already newer gets no answer."""
+        catalog = self.catalog()
+        if catalog.version <= fetch.have_version and not fetch.full:
+            return
+        notes = None
+        if not fetch.full and fetch.have_version:
+            notes = self.notes_between(fetch.have_version, catalog.version)
+        if notes is None:
+            self._send_whole(fetch.mesh_address, catalog)
+            return
+        delta = ConfigDelta(
+            self.transport.name, fetch.have_version, catalog.version, notes, catalog.digest()
+        )
+        self.transport.send(fetch.mesh_address, delta)
+
+    def _send_whole(self, address: str, catalog: Catalog) -> None:
+        data = msgspec.msgpack.encode(catalog)
+        digest = catalog.digest()
+        starts = range(0, len(data), CHUNK_BYTES)
+        for index, start in enumerate(starts):
+            part = data[start : start + CHUNK_BYTES]
+            chunk = ConfigChunk(
+                self.transport.name, catalog.version, digest, index, len(starts), part
+            )
+            self.transport.send(address, chunk)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/control_link/chunk_buffer.py
@@ -0,0 +1,48 @@
+"""Assembly of a catalog that arrives in chunks."""
+
+import msgspec
+
+from spindle_daemon.components.control_link.const import MAX_CATALOG_BYTES
+from spindle_decisions.catalog.catalog import Catalog
+from spindle_decisions.exceptions import FrameError
+from spindle_decisions.wire.config_chunk import ConfigChunk
+
+
+class ChunkBuffer:
+    """Collects the chunks of one version; a newer version starts over."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.digest = ""
+        self.parts: dict[int, bytes] = {}
+
+    def add(self, chunk: ConfigChunk) -> Catalog | None:
+        """Take in a chunk; return the catalog when it is complete.
+
+        Raises `FrameError` when the whole does not decode, has another digest
+        than announced, or is too large.
+        """
+        if chunk.version < self.version:
+            return None
+        if chunk.version > self.version or chunk.digest != self.digest:
+            self.version = chunk.version
+            self.digest = chunk.digest
+            self.parts = {}
+        self.parts[chunk.index] = chunk.data
+        if sum(map(len, self.parts.values())) > MAX_CATALOG_BYTES:
+            self.parts = {}
+            raise FrameError(f"catalog is larger than {MAX_CATALOG_BYTES} bytes")
+        if len(self.parts) < chunk.total:
+            return None
+        return self._assemble()
+
+    def _assemble(self) -> Catalog:
+        data = b"".join(self.parts[index] for index in sorted(self.parts))
+        self.parts = {}
+        try:
+            catalog = msgspec.msgpack.decode(data, type=Catalog)
+        except msgspec.MsgspecError as err:
+            raise FrameError(f"catalog is malformed: {err}") from err
+        if catalog.digest() != self.digest:
+            raise FrameError("catalog has another digest than announced")
+        return catalog
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/control_link/control_choice.py
@@ -0,0 +1,103 @@
+"""The choice of the control instance that an entry instance listens to."""
+
+import dataclasses
+
+from spindle_daemon.components.control_link.const import ACK_TIMEOUT_S, MOVE_BACK_S
+from spindle_daemon.settings.control_address import ControlAddress
+from spindle_decisions.wire.heartbeat_ack import HeartbeatAck
+
+
+@dataclasses.dataclass(frozen=True)
+class ControlView:
+    """What was last heard of one control instance, in monotonic seconds."""
+
+    address: ControlAddress
+    data_center: str = ""
+    stale: bool = False
+    heard_at: float | None = None
+
+
+class ControlChoice:
+    """Picks a control instance: fresh before stale, near before far, steady before new.
+
+    The current choice is kept while it answers and is not stale. A better one
+    in the own data centre is taken back only after it has been fresh for
+    `MOVE_BACK_S`, so that a flapping link does not move an instance to and fro.
+    """
+
+    def __init__(
+        self, addresses: tuple[ControlAddress, ...], data_center: str, now: float, first: int
+    ) -> None:
+        self.data_center = data_center
+        self.views = {item.name: ControlView(item) for item in addresses}
+        self.current = addresses[first % len(addresses)]
+        self.chosen_at = now
+        self.near_since: float | None = None
+
+    def acked(self, now: float, ack: HeartbeatAck) -> None:
+        """Take in an answer."""
+        view = self.views.get(ack.control)
+        if view is None:
+            return
+        self.views[ack.control] = dataclasses.replace(
+            view, data_center=ack.data_center, stale=ack.stale, heard_at=now
+        )
+
+    def decide(self, now: float) -> bool:
+        """Choose again; return true when the choice moved to another control instance."""
+        if not self._usable(now, self.views[self.current.name]):
+            return self._move(now)
+        return self._move_back(now)
+
+    def doubtful(self, now: float) -> bool:
+        """Tell whether the current choice is silent or stale, so that others should be asked."""
+        view = self.views[self.current.name]
+        return view.stale or self._silent(now, view)
+
+    def _usable(self, now: float, view: ControlView) -> bool:
+        return not view.stale and not self._silent(now, view)
+
+    def _silent(self, now: float, view: ControlView) -> bool:
+        last = self.chosen_at if view.heard_at is None else max(view.heard_at, self.chosen_at)
+        return now - last > ACK_TIMEOUT_S
+
+    def _heard(self, now: float, view: ControlView) -> bool:
+        return view.heard_at is not None and now - view.heard_at <= ACK_TIMEOUT_S
+
+    def _move(self, now: float) -> bool:
+        fresh = [
+            view
+            for view in self.views.values()
+            if self._heard(now, view) and not view.stale and view.address != self.current
+        ]
+        if not fresh:
+            return False
+        best = min(
+            fresh, key=lambda view: (view.data_center != self.data_center, view.address.name)
+        )
+        self._take(now, best.address)
+        return True
+
+    def _move_back(self, now: float) -> bool:
+        if self.views[self.current.name].data_center == self.data_center:
+            self.near_since = None
+            return False
+        near = [
+            view
+            for view in self.views.values()
+            if view.data_center == self.data_center and self._heard(now, view) and not view.stale
+        ]
+        if not near:
+            self.near_since = None
+            return False
+        if self.near_since is None:
+            self.near_since = now
+        if now - self.near_since < MOVE_BACK_S:
+            return False
+        self._take(now, near[0].address)
+        return True
+
+    def _take(self, now: float, address: ControlAddress) -> None:
+        self.current = address
+        self.chosen_at = now
+        self.near_since = None
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/control_link/coordinator.py
@@ -0,0 +1,149 @@
+"""The heartbeats of an entry instance and what it learns from the answers."""
+
+import logging
+
+import gevent
+
+from spindle_daemon.components.control_link.catalog_fetcher import CatalogFetcher
+from spindle_daemon.components.control_link.catalog_holder import CatalogHolder
+from spindle_daemon.components.control_link.const import HEARTBEAT_S, STARTUP_WAIT_S
+from spindle_daemon.components.control_link.control_choice import ControlChoice
+from spindle_daemon.core.live_changed import LiveChanged
+from spindle_daemon.core.spindle import Spindle
+from spindle_decisions.membership.instance_table import live_digest
+from spindle_decisions.timeline.event_kind import EventKind
+from spindle_decisions.wire.config_notice import ConfigNotice
+from spindle_decisions.wire.heartbeat import Heartbeat
+from spindle_decisions.wire.heartbeat_ack import HeartbeatAck
+from spindle_decisions.wire.leave import Leave
+from spindle_decisions.wire.live_instance import LiveInstance
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ControlLink:
+    """Keeps an entry instance in touch with the control instances.
+
+    Every control instance is asked in turn while the current one is in doubt,
+    and one of the others with each heartbeat otherwise, so that the choice
+    always rests on recent answers. The instance becomes ready once it has a
+    catalog and had the time to hear of a newer one.
+    """
+
+    def __init__(self, spindle: Spindle, holder: CatalogHolder, fetcher: CatalogFetcher) -> None:
+        self.spindle = spindle
+        self.holder = holder
+        self.fetcher = fetcher
+        self.addresses = spindle.settings.controls
+        self.started_at = spindle.clock.now()
+        self.choice = ControlChoice(
+            self.addresses,
+            spindle.settings.instance.data_center,
+            self.started_at,
+            spindle.rng.randrange(len(self.addresses)),
+        )
+        self.live: tuple[LiveInstance, ...] = ()
+        self.live_digest = live_digest(())
+        self.round = 0
+        self.heard: set[str] = set()
+        spindle.transport.handle(HeartbeatAck, self._handle_ack)
+        spindle.transport.handle(ConfigNotice, self._handle_notice)
+
+    def target(self, attempt: int) -> str:
+        """Return the mesh address for a proposal: the current choice first, then the others."""
+        if attempt == 0:
+            return self.choice.current.address
+        return self.addresses[(self.round + attempt) % len(self.addresses)].address
+
+    def run_forever(self) -> None:
+        """Send heartbeats."""
+        while True:
+            self.beat()
+            gevent.sleep(HEARTBEAT_S * self.spindle.rng.uniform(0.8, 1.2))
+
+    def beat(self) -> None:
+        """Send one round of heartbeats and choose again."""
+        now = self.spindle.clock.now()
+        if self.choice.decide(now):
+            self._tell_move()
+        for address in self._round_addresses(now):
+            attached = address == self.choice.current.address
+            self.spindle.transport.send(address, self._heartbeat(attached))
+        self.round += 1
+        self._check_ready(now)
+
+    def leave(self) -> None:
+        """Tell every control instance that this instance has stopped serving."""
+        message = Leave(self.spindle.settings.instance.name, self.spindle.incarnation)
+        for control in self.addresses:
+            self.spindle.transport.send(control.address, message)
+
+    def _round_addresses(self, now: float) -> list[str]:
+        everyone = [control.address for control in self.addresses]
+        if not self.spindle.ready or self.choice.doubtful(now):
+            return everyone
+        current = self.choice.current.address
+        other = everyone[self.round % len(everyone)]
+        return [current] if other == current else [current, other]
+
+    def _heartbeat(self, attached: bool) -> Heartbeat:
+        return Heartbeat(
+            live=self._self(),
+            config_version=self.holder.catalog.version,
+            config_digest=self.holder.digest,
+            live_digest=self.live_digest,
+            attached=attached,
+        )
+
+    def _self(self) -> LiveInstance:
+        settings = self.spindle.settings
+        return LiveInstance(
+            instance=settings.instance.name,
+            incarnation=self.spindle.incarnation,
+            data_center=settings.instance.data_center,
+            role=settings.instance.role,
+            mesh_address=settings.mesh.advertise,
+            admin_host=settings.admin.host,
+            admin_port=settings.admin.port,
+            leaving=self.spindle.leaving,
+        )
+
+    def _handle_ack(self, _sender: str, ack: HeartbeatAck) -> None:
+        now = self.spindle.clock.now()
+        self.heard.add(ack.control)
+        self.choice.acked(now, ack)
+        self._learn(ack.control, ack.config_version, ack.config_digest)
+        if ack.config_version == self.holder.catalog.version and not ack.stale:
+            self.holder.confirm()
+        if ack.control == self.choice.current.name or not self.live:
+            self._take_live(ack)
+
+    def _handle_notice(self, _sender: str, notice: ConfigNotice) -> None:
+        self._learn(notice.control, notice.version, notice.digest)
+
+    def _learn(self, control: str, version: int, digest: str) -> None:
+        for item in self.addresses:
+            if item.name == control:
+                self.fetcher.learn(item.address, version, digest)
+
+    def _take_live(self, ack: HeartbeatAck) -> None:
+        if ack.live_digest == self.live_digest or not ack.live:
+            return
+        self.live = ack.live
+        self.live_digest = ack.live_digest
+        self.spindle.bus.fire(LiveChanged(self.live))
+
+    def _check_ready(self, now: float) -> None:
+        if self.spindle.ready or self.spindle.leaving:
+            return
+        if not self.holder.catalog.version:
+            return
+        if now - self.started_at < STARTUP_WAIT_S and len(self.heard) < len(self.addresses):
+            return
+        self.spindle.ready = True
+        _LOGGER.info("link: ready with config version %s", self.holder.catalog.version)
+
+    def _tell_move(self) -> None:
+        name = self.choice.current.name
+        _LOGGER.info("link: moved to control instance %s", name)
+        self.spindle.timeline.add(EventKind.CONTROL_MOVED, "moved to a fresh one", peer=name)
--- a/packages/daemon/src/spindle_daemon/core/spindle.py
+++ b/packages/daemon/src/spindle_daemon/core/spindle.py
@@ -22,8 +22,8 @@
     """Everything that the components of one process share.
 
     The interfaces are filled in by the components that provide them, before
-    the components that use them are set up. Stop hooks run in the order of
-    registration, each to its end, so that serving stops before what it needs.
+    the components that use them are set up. Stop hooks run in the reverse order
+    of registration, each to its end, so that serving stops before what it needs.
     """
 
     catalog: CatalogSource
@@ -49,9 +49,9 @@
         self.stop_hooks.append(hook)
 
     def stop(self) -> None:
-        """Run all stop hooks; a hook that fails is logged and the next one runs."""
+        """Run all stop hooks, last one first; one that fails is logged and the next runs."""
         self.leaving = True
-        for hook in self.stop_hooks:
+        for hook in reversed(self.stop_hooks):
             try:
                 hook()
             except Exception:
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/daemon.py
@@ -0,0 +1,87 @@
+"""Start and planned stop of one process."""
+
+import logging
+import random
+import signal
+
+import gevent
+from gevent.event import Event
+
+from spindle_daemon.components import account as account_component
+from spindle_daemon.components import admin, control, control_link, timeline
+from spindle_daemon.components import entry_http as entry_http_component
+from spindle_daemon.components import serving as serving_component
+from spindle_daemon.core.clock import SystemClock
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.mesh.transport import Transport
+from spindle_daemon.settings.const import ROLE_CONTROL
+from spindle_daemon.settings.settings import Settings
+from spindle_decisions.exceptions import FrameError, SettingsError
+from spindle_decisions.timeline.event_kind import EventKind
+from spindle_decisions.timeline.hybrid_clock import HybridClock
+from spindle_decisions.wire.frame_codec import FrameCodec
+
+_LOGGER = logging.getLogger(__name__)
+
+MIN_KEY_BYTES = 16
+
+
+def run(settings: Settings) -> None:
+    """Run the process until SIGTERM or SIGINT, then stop as planned."""
+    key = read_key(settings)
+    clock = SystemClock()
+    hybrid = HybridClock(clock.wall_ms)
+    spindle = Spindle(settings, clock, random.Random(), incarnation=clock.wall_ms())
+    spindle.transport = Transport(
+        settings.instance.name, settings.mesh.listen, FrameCodec(key), hybrid
+    )
+    timeline.setup(spindle, hybrid)
+    spindle.transport.on_bad_frame = lambda err: _note_bad_frame(spindle, err)
+    _setup_role(spindle, key)
+    spindle.transport.start()
+    _wait_for_signal()
+    _LOGGER.info("daemon: stopping")
+    spindle.timeline.add(EventKind.PROCESS_STOPPING, "asked to stop")
+    spindle.stop()
+    spindle.transport.close()
+    _LOGGER.info("daemon: stopped after %s ms", clock.wall_ms() - spindle.incarnation)
+
+
+def read_key(settings: Settings) -> bytes:
+    """Read the shared key; raise `SettingsError` when it is missing or too short."""
+    path = settings.instance.key_file
+    try:
+        key = path.read_bytes().strip()
+    except OSError as err:
+        raise SettingsError(f"[instance] key-file = {path}: cannot be read: {err}") from err
+    if len(key) < MIN_KEY_BYTES:
+        raise SettingsError(
+            f"[instance] key-file = {path}: allowed: at least {MIN_KEY_BYTES} bytes"
+        )
+    return key
+
+
+def _setup_role(spindle: Spindle, key: bytes) -> None:
+    app = admin.setup(spindle, key)
+    timeline.register(spindle, app)
+    if spindle.settings.instance.role == ROLE_CONTROL:
+        folder = control.setup(spindle, app)
+        spindle.on_stop(folder.close)
+        account_component.setup_control(spindle, app, folder)
+        return
+    link = control_link.setup(spindle)
+    spindle.on_stop(link.leave)
+    account_component.setup(spindle)
+    coordinator = serving_component.setup(spindle)
+    entry_http_component.setup(spindle, coordinator)
+
+
+def _wait_for_signal() -> None:
+    stop = Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    gevent.signal_handler(signal.SIGINT, stop.set)
+    stop.wait()
+
+
+def _note_bad_frame(spindle: Spindle, err: FrameError) -> None:
+    spindle.timeline.add(EventKind.FRAME_DROPPED, str(err))
--- a/packages/decisions/src/spindle_decisions/wire/control_status.py
+++ b/packages/decisions/src/spindle_decisions/wire/control_status.py
@@ -2,15 +2,11 @@
 
 import msgspec
 
-from spindle_decisions.wire.live_instance import LiveInstance
+from spindle_decisions.wire.instance_report import InstanceReport
 
 
 class ControlStatus(msgspec.Struct, frozen=True, tag="control-status"):
     """The instances that a control instance hears directly."""
 
     control: str
-    data_center: str
-    config_version: int
-    config_digest: str
-    stale: bool
-    live: tuple[LiveInstance, ...]
+    reports: tuple[InstanceReport, ...]
--- a/packages/decisions/src/spindle_decisions/wire/heartbeat.py
+++ b/packages/decisions/src/spindle_decisions/wire/heartbeat.py
@@ -2,22 +2,19 @@
 
 import msgspec
 
+from spindle_decisions.wire.live_instance import LiveInstance
+
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
     """An instance tells that it lives and what it holds.
 
-    `incarnation` grows with each start of the instance. `leaving` is told
-    during a planned stop, so that nobody has to guess. `mesh_address` is where
-    answers go; `admin_host` and `admin_port` serve metrics and the time line.
+    The incarnation grows with each start of the instance. `live_digest` is the
+    digest of the membership it holds, so that an answer repeats the list only
+    when it changed. `attached` is false while the instance only asks around.
     """
 
-    instance: str
-    incarnation: int
-    data_center: str
-    role: str
-    mesh_address: str
-    admin_host: str
-    admin_port: int
+    live: LiveInstance
     config_version: int
     config_digest: str
-    leaving: bool = False
+    live_digest: str
+    attached: bool
--- a/packages/decisions/src/spindle_decisions/wire/live_instance.py
+++ b/packages/decisions/src/spindle_decisions/wire/live_instance.py
@@ -3,8 +3,8 @@
 import msgspec
 
 
-class LiveInstance(msgspec.Struct, frozen=True):
-    """An instance believed to live or to be leaving."""
+class LiveInstance(msgspec.Struct, frozen=True, order=True):
+    """An instance believed to live or to be leaving, with the addresses it gave."""
 
     instance: str
     incarnation: int
@@ -13,7 +13,4 @@
     mesh_address: str
     admin_host: str
     admin_port: int
-    config_version: int
-    config_digest: str
     leaving: bool
-    age_ms: int
