Add the TCP fault proxy and tests of both stand-ins

A cut holds bytes and ends of stream instead of dropping them: dropping bytes in the middle of a stream and going on afterwards is nothing that TCP does, and would show faults that cannot happen. Ending a cut together with a reset gives the other real case. Delay is pipelined through a bounded queue, so that it adds latency only.

The stall test fails without TCP_NODELAY on accepted sockets (tried on a scratch edit).

--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/proxy/connection.py
@@ -0,0 +1,56 @@
+"""One connection through a link."""
+
+import socket
+from typing import Any
+
+import gevent
+
+from spindle_devkit.proxy.direction import Direction
+from spindle_devkit.proxy.pump import Pump
+from spindle_devkit.proxy.pump_result import PumpResult
+from spindle_devkit.sockets import reset, set_no_delay
+
+
+class Connection:
+    """A pair of sockets with a pump in each direction."""
+
+    def __init__(self, near: Any, far: Any, forward: Direction, backward: Direction) -> None:
+        self.near = near
+        self.far = far
+        self.forward = forward
+        self.backward = backward
+        for sock in (near, far):
+            set_no_delay(sock)
+
+    def run(self) -> None:
+        """Pump both ways until both streams ended or one of them broke."""
+        greenlets = [
+            gevent.spawn(self._pump, self.near, self.far, self.forward),
+            gevent.spawn(self._pump, self.far, self.near, self.backward),
+        ]
+        gevent.joinall(greenlets)
+        self.near.close()
+        self.far.close()
+
+    def reset(self) -> None:
+        """Reset both sides."""
+        for sock in (self.near, self.far):
+            reset(sock)
+
+    def _pump(self, source: Any, sink: Any, direction: Direction) -> None:
+        result = Pump(source, sink, direction).run()
+        if result is PumpResult.ENDED:
+            _shutdown(sink, socket.SHUT_WR)
+            return
+        if result is PumpResult.FAILED:
+            self.reset()
+            return
+        for sock in (self.near, self.far):
+            _shutdown(sock, socket.SHUT_RDWR)
+
+
+def _shutdown(sock: Any, how: int) -> None:
+    try:
+        sock.shutdown(how)
+    except OSError:
+        return
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/proxy/endpoint.py
@@ -0,0 +1,19 @@
+"""One TCP address."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """Host and port; written `host:port`."""
+
+    host: str
+    port: int
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Parse `host:port`; raise `ValueError` for anything else."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not host:
+        raise ValueError(f"{text!r} is not host:port")
+    return Endpoint(host, int(port))
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/proxy/link.py
@@ -0,0 +1,95 @@
+"""One link of the fault proxy."""
+
+import logging
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from spindle_devkit.proxy import const
+from spindle_devkit.proxy.connection import Connection
+from spindle_devkit.proxy.direction import Direction
+from spindle_devkit.proxy.link_change import LinkChange
+from spindle_devkit.proxy.link_settings import LinkSettings
+from spindle_devkit.proxy.link_status import LinkStatus
+from spindle_devkit.sockets import reset
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Link:
+    """Listens at one address and forwards to another."""
+
+    def __init__(self, settings: LinkSettings) -> None:
+        self.settings = settings
+        self.port = settings.listen.port
+        self.forward = Direction()
+        self.backward = Direction()
+        self.connections: set[Connection] = set()
+        self.server: StreamServer | None = None
+
+    def listen(self) -> None:
+        """Start to accept connections; nothing happens when it already does."""
+        if self.server is None:
+            self.server = StreamServer((self.settings.listen.host, self.port), self._handle)
+            self.server.start()
+            self.port = self.server.server_port
+
+    def refuse(self) -> None:
+        """Stop to accept connections; those that are open stay open."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    def apply(self, change: LinkChange) -> None:
+        """Apply a change asked for by the control side."""
+        if change.delay_ms is not None:
+            self.forward.delay_s = self.backward.delay_s = change.delay_ms / 1000.0
+        if change.cut_forward is not None:
+            self.forward.cut(change.cut_forward)
+        if change.cut_backward is not None:
+            self.backward.cut(change.cut_backward)
+        if change.truncate_forward_after is not None:
+            self.forward.truncate(change.truncate_forward_after)
+        if change.truncate_backward_after is not None:
+            self.backward.truncate(change.truncate_backward_after)
+        if change.refuse is not None:
+            self.refuse() if change.refuse else self.listen()
+        if change.reset:
+            for connection in tuple(self.connections):
+                connection.reset()
+
+    def status(self) -> LinkStatus:
+        """Return the totals of the link."""
+        return LinkStatus(
+            link=self.settings.name,
+            connections=len(self.connections),
+            forward_bytes=self.forward.total_bytes,
+            backward_bytes=self.backward.total_bytes,
+        )
+
+    def _handle(self, near: Any, _address: Any) -> None:
+        gevent.sleep(self.forward.delay_s + self.backward.delay_s)
+        self.forward.passable.wait()
+        target = self.settings.target
+        try:
+            far = socket.create_connection((target.host, target.port), const.CONNECT_TIMEOUT_S)
+        except OSError as err:
+            _LOGGER.info("proxy: link %s cannot connect: %s", self.settings.name, err)
+            reset(near)
+            return
+        far.settimeout(None)
+        connection = Connection(near, far, self.forward, self.backward)
+        self.connections.add(connection)
+        try:
+            connection.run()
+        finally:
+            self.connections.discard(connection)
+
+
+def create_link(settings: LinkSettings) -> Link:
+    """Return a link that listens."""
+    link = Link(settings)
+    link.listen()
+    return link
--- /dev/null
+++ b/packages/devkit/src/spindle_devkit/proxy/pump.py
@@ -0,0 +1,74 @@
+"""Moves the bytes of one connection in one direction."""
+
+import time
+from typing import Any
+
+import gevent
+from gevent.queue import Queue
+
+from spindle_devkit.proxy import const
+from spindle_devkit.proxy.direction import UNLIMITED, Direction
+from spindle_devkit.proxy.pump_result import PumpResult
+
+_END_OF_STREAM = b""
+
+
+class Pump:
+    """Reads from one socket and writes to another with the faults of a direction.
+
+    Chunks wait in a bounded queue with the time of their delivery, so a delay
+    adds latency without lowering the throughput.
+    """
+
+    def __init__(self, source: Any, sink: Any, direction: Direction) -> None:
+        self.source = source
+        self.sink = sink
+        self.direction = direction
+        self.chunks: Queue = Queue(const.CHUNKS_HELD)
+        self.truncations = direction.truncations
+        self.left = direction.truncate_after
+
+    def run(self) -> PumpResult:
+        """Move bytes until the stream ends, is truncated or fails."""
+        reader = gevent.spawn(self._read)
+        try:
+            return self._write()
+        except OSError:
+            return PumpResult.FAILED
+        finally:
+            reader.kill(block=False)
+
+    def _read(self) -> None:
+        while True:
+            try:
+                data = self.source.recv(const.CHUNK_BYTES)
+            except OSError:
+                data = None
+            self.chunks.put((time.monotonic() + self.direction.delay_s, data))
+            if not data:
+                return
+
+    def _write(self) -> PumpResult:
+        while True:
+            deliver_at, data = self.chunks.get()
+            gevent.sleep(max(0.0, deliver_at - time.monotonic()))
+            self.direction.passable.wait()
+            if data is None:
+                return PumpResult.FAILED
+            if data == _END_OF_STREAM:
+                return PumpResult.ENDED
+            allowed = self._allowed(data)
+            self.sink.sendall(allowed)
+            self.direction.total_bytes += len(allowed)
+            if len(allowed) < len(data) or self.left == 0:
+                return PumpResult.TRUNCATED
+
+    def _allowed(self, data: bytes) -> bytes:
+        if self.truncations != self.direction.truncations:
+            self.truncations = self.direction.truncations
+            self.left = self.direction.truncate_after
+        if self.left == UNLIMITED:
+            return data
+        allowed = data[: self.left]
+        self.left -= len(allowed)
+        return allowed
--- a/packages/devkit/src/spindle_devkit/upstream/connection_server.py
+++ b/packages/devkit/src/spindle_devkit/upstream/connection_server.py
@@ -13,10 +13,10 @@
 class ConnectionServer(WSGIServer):
     """A WSGI server that closes each connection over the cap of its upstream."""
 
-    def __init__(self, upstream: StandinUpstream) -> None:
+    def __init__(self, upstream: StandinUpstream, port: int) -> None:
         settings = upstream.settings
         super().__init__(
-            (settings.host, settings.port),
+            (settings.host, port),
             Application(upstream),
             log=None,
             handler_class=ConnectionHandler,
--- a/packages/devkit/src/spindle_devkit/upstream/load_settings.py
+++ b/packages/devkit/src/spindle_devkit/upstream/load_settings.py
@@ -7,7 +7,7 @@
 
 import voluptuous as vol
 
-from spindle_decisions.exceptions import SettingsError
+from spindle_decisions.exceptions import BadRequestError, SettingsError
 from spindle_decisions.serving.snapshot_id import parse_snapshot_id
 from spindle_devkit.upstream import const
 from spindle_devkit.upstream.standin_settings import StandinSettings
@@ -20,7 +20,10 @@
 
 
 def _snapshots(text: str) -> tuple[str, ...]:
-    return tuple(str(parse_snapshot_id(word)) for word in text.split())
+    try:
+        return tuple(str(parse_snapshot_id(word)) for word in text.split())
+    except BadRequestError as err:
+        raise vol.Invalid(str(err)) from err
 
 
 _UPSTREAM = vol.Schema(
--- a/packages/devkit/src/spindle_devkit/upstream/served_upstream.py
+++ b/packages/devkit/src/spindle_devkit/upstream/served_upstream.py
@@ -16,13 +16,15 @@
 
     def __init__(self, upstream: StandinUpstream) -> None:
         self.upstream = upstream
+        self.port = upstream.settings.port
         self.server: ConnectionServer | None = None
 
     def listen(self) -> None:
         """Start to accept connections; nothing happens when it already does."""
         if self.server is None:
-            self.server = ConnectionServer(self.upstream)
+            self.server = ConnectionServer(self.upstream, self.port)
             self.server.start()
+            self.port = self.server.server_port
 
     def refuse(self) -> None:
         """Stop to accept connections; those that are open stay open."""
