--- a/bench/files.py
+++ b/bench/files.py
@@ -5,7 +5,7 @@
 import pathlib
 import uuid
 
-from bench.plan import DeploymentPlan, InstancePlan, UpstreamPlan
+from bench.plan import DeploymentPlan, GroupPlan, InstancePlan, UpstreamPlan
 from bench.ports import LOOPBACK
 
 Section = dict[str, str]
@@ -44,23 +44,29 @@
     return render_ini(sections)
 
 
-def standin_settings(upstreams: tuple[UpstreamPlan, ...], plan: DeploymentPlan) -> str:
+def standin_settings(
+    upstreams: tuple[UpstreamPlan, ...], plan: DeploymentPlan, control_port: int
+) -> str:
     """Return the settings file of one stand-in process."""
     groups = {group.name: group for group in plan.groups}
     return render_ini(
         {
-            f"upstream {item.name}": {
-                "listen": f"{LOOPBACK}:{item.port}",
-                "service": item.service,
-                "slots": str(groups[item.group].slots),
-                "connections": str(groups[item.group].connections),
-                **dict(item.settings),
-            }
-            for item in upstreams
+            "standin": {"port": str(control_port)},
+            **{f"upstream {item.name}": _upstream(item, groups[item.group]) for item in upstreams},
         }
     )
 
 
+def _upstream(item: UpstreamPlan, group: GroupPlan) -> Section:
+    return {
+        "port": str(item.port),
+        "service": item.service,
+        "slots": str(group.slots),
+        "connections": str(group.connections),
+        **dict(item.settings),
+    }
+
+
 def founding_note(plan: DeploymentPlan, author: str = "bench") -> str:
     """Return release note 1, which creates everything that the plan serves."""
     sections: dict[str, Section] = {"note": note_head(1, author)}
