--- a/packages/daemon/src/spindle_daemon/__main__.py
+++ b/packages/daemon/src/spindle_daemon/__main__.py
@@ -6,6 +6,7 @@
 
 import pathlib  # noqa: E402
 import sys  # noqa: E402
+from typing import Annotated  # noqa: E402
 
 import typer  # noqa: E402
 
@@ -19,8 +20,8 @@
 
 
 def spindled(
-    config: pathlib.Path = typer.Option(..., "--config", help="Settings file (INI)."),
-    check: bool = typer.Option(False, "--check", help="Check the settings and exit."),
+    config: Annotated[pathlib.Path, typer.Option(help="Settings file (INI).")],
+    check: Annotated[bool, typer.Option("--check", help="Check the settings and exit.")] = False,
 ) -> None:
     """Run one instance of the query tier with the role named in its settings."""
     try:
--- a/packages/daemon/src/spindle_daemon/components/control_link/control_choice.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/control_choice.py
@@ -72,9 +72,7 @@
         ]
         if not fresh:
             return False
-        best = min(
-            fresh, key=lambda view: (view.data_center != self.data_center, view.address.name)
-        )
+        best = min(fresh, key=self._distance)
         self._take(now, best.address)
         return True
 
@@ -97,6 +95,9 @@
         self._take(now, near[0].address)
         return True
 
+    def _distance(self, view: ControlView) -> tuple[bool, str]:
+        return (view.data_center != self.data_center, view.address.name)
+
     def _take(self, now: float, address: ControlAddress) -> None:
         self.current = address
         self.chosen_at = now
--- a/packages/decisions/src/spindle_decisions/membership/instance_table.py
+++ b/packages/decisions/src/spindle_decisions/membership/instance_table.py
@@ -73,9 +73,8 @@
 
     def direct_reports(self, now: float) -> tuple[InstanceReport, ...]:
         """Return the instances that were heard directly."""
-        return tuple(
-            report for report in self.reports(now) if self.entries[report.live.instance].direct
-        )
+        names = sorted(name for name, entry in self.entries.items() if entry.direct)
+        return tuple(self._report(now, self.entries[name]) for name in names)
 
     def reports(self, now: float) -> tuple[InstanceReport, ...]:
         """Return all instances with their age, sorted by name."""
