--- /dev/null
+++ b/bench/caller.py
@@ -0,0 +1,68 @@
+"""A caller of the tier, for tests and the demonstration."""
+
+import time
+from typing import Any
+
+import msgspec
+from geventhttpclient import HTTPClient
+
+from bench.ports import LOOPBACK
+from spindle_decisions.wire.headers import (
+    HEADER_CODE,
+    HEADER_DEADLINE_MS,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_MIN_COVERAGE,
+)
+
+DEFAULT_TIMEOUT_S = 20.0
+
+
+class CallerAnswer(msgspec.Struct, frozen=True):
+    """What a caller got: status, code of a refusal or empty, decoded body, seconds taken."""
+
+    status: int
+    code: str
+    body: Any
+    took_s: float
+
+
+class Caller:
+    """Sends requests to one entry instance."""
+
+    def __init__(self, port: int, timeout_s: float = DEFAULT_TIMEOUT_S) -> None:
+        self.port = port
+        self.timeout_s = timeout_s
+
+    def query(
+        self, group: str, deadline_ms: int | None = None, min_coverage: float | None = None
+    ) -> CallerAnswer:
+        """Send a query over all services of a group."""
+        headers = {}
+        if deadline_ms is not None:
+            headers[HEADER_DEADLINE_MS] = str(deadline_ms)
+        if min_coverage is not None:
+            headers[HEADER_MIN_COVERAGE] = str(min_coverage)
+        return self.post(f"/v1/groups/{group}/query", b'{"query":{"text":"stencil"}}', headers)
+
+    def run(self, group: str, key: str, request_id: str, body: str = "book") -> CallerAnswer:
+        """Send a request that is not idempotent."""
+        data = msgspec.json.encode({"key": key, "body": {"what": body}})
+        return self.post(f"/v1/groups/{group}/run", data, {HEADER_IDEMPOTENCY_KEY: request_id})
+
+    def post(self, path: str, body: bytes, headers: dict[str, str]) -> CallerAnswer:
+        """Send a POST; raises `OSError` when the entry cannot be reached."""
+        client = HTTPClient(
+            LOOPBACK,
+            self.port,
+            connection_timeout=self.timeout_s,
+            network_timeout=self.timeout_s,
+        )
+        started = time.monotonic()
+        try:
+            response = client.request("POST", path, body=body, headers=headers)
+            data = bytes(response.read())
+        finally:
+            client.close()
+        took_s = time.monotonic() - started
+        code = response.get(HEADER_CODE) or ""
+        return CallerAnswer(response.status_code, code, msgspec.json.decode(data), took_s)
--- /dev/null
+++ b/bench/cli.py
@@ -0,0 +1,23 @@
+"""Running `spindlectl` against a deployment under test."""
+
+import subprocess
+import sys
+
+from bench.deployment import Deployment
+from bench.ports import LOOPBACK
+
+CLI_TIMEOUT_S = 60.0
+
+
+def spindlectl(deployment: Deployment, *arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run one command with the key and all control instances of the deployment."""
+    options: list[str] = ["--key-file", str(deployment.folder / "key")]
+    for control in deployment.plan.controls:
+        options += ["--control", f"{LOOPBACK}:{control.admin_port}"]
+    return subprocess.run(
+        [sys.executable, "-m", "spindle_cli", *options, *arguments],
+        capture_output=True,
+        text=True,
+        timeout=CLI_TIMEOUT_S,
+        check=False,
+    )
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,76 @@
+"""A small deployment from start to graceful stop, as a first look at the system."""
+
+import pathlib
+import sys
+import tempfile
+
+import msgspec
+
+from bench import files
+from bench.caller import Caller
+from bench.cli import spindlectl
+from bench.deployment import Deployment
+from bench.plan import GroupPlan
+from bench.plan_builder import build_plan
+
+QUERIES = 40
+GROUPS = (
+    GroupPlan("comptoir", 6, 2),
+    GroupPlan("reservations", 1, 4, kind="request", connections=100),
+)
+
+
+def main() -> int:
+    """Run the demonstration; return 0 when every process stopped as planned."""
+    plan = build_plan(GROUPS, controls=1, entries=2, data_centers=("rennes-a", "brest-b"))
+    with tempfile.TemporaryDirectory(prefix="spindle-demo-") as folder:
+        deployment = Deployment(plan, pathlib.Path(folder))
+        try:
+            return _tour(deployment)
+        finally:
+            deployment.kill_all()
+
+
+def _tour(deployment: Deployment) -> int:
+    print("Starting 1 control instance, 2 entry instances and 16 stand-in upstreams.")
+    deployment.start_standins()
+    deployment.start_instance("control-1")
+    deployment.wait_answer("control-1", "/v1/identity")
+    _show(deployment, "bootstrap")
+    for entry in deployment.plan.entries:
+        deployment.start_instance(entry.name)
+    note = deployment.folder / "note-1.ini"
+    note.write_text(files.founding_note(deployment.plan))
+    _show(deployment, "apply", str(note))
+    for entry in deployment.plan.entries:
+        deployment.wait_ready(entry.name)
+    _show(deployment, "status")
+    _ask(deployment)
+    _show(deployment, "page")
+    codes = deployment.stop()
+    print(f"Exit codes: {codes}")
+    return 0 if set(codes.values()) == {0} else 1
+
+
+def _ask(deployment: Deployment) -> None:
+    callers = [Caller(entry.entry_port) for entry in deployment.plan.entries]
+    answers = [callers[number % len(callers)].query("comptoir") for number in range(QUERIES)]
+    best = next(item for item in answers if item.status == 200)
+    body = best.body
+    print(
+        f"\nOne answer: snapshot {body['snapshot']}, "
+        f"{len(body['covered'])} of {body['services_total']} services, "
+        f"missing {body['missing']}, {len(body['rows'])} rows, {best.took_s * 1000:.1f} ms"
+    )
+    print(f"first row: {msgspec.json.encode(body['rows'][0]).decode()}\n")
+
+
+def _show(deployment: Deployment, *arguments: str) -> None:
+    done = spindlectl(deployment, *arguments)
+    print(f"$ spindlectl {arguments[0]}\n{done.stdout}{done.stderr}", flush=True)
+    if done.returncode:
+        raise SystemExit(f"spindlectl {arguments[0]} ended with {done.returncode}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/daemon/mesh/test_transport.py
@@ -0,0 +1,65 @@
+"""Tests of messages between processes over loopback."""
+
+import unittest
+
+import gevent
+import pynng
+from bench.ports import LOOPBACK, free_ports
+from gevent.event import Event
+
+from spindle_daemon.mesh.transport import Transport
+from spindle_decisions.timeline.hlc_stamp import HlcStamp
+from spindle_decisions.timeline.hybrid_clock import HybridClock
+from spindle_decisions.wire.frame import Frame
+from spindle_decisions.wire.frame_codec import FrameCodec
+from spindle_decisions.wire.leave import Leave
+
+KEY = b"0123456789abcdef"
+WAIT_S = 10.0
+SETTLE_S = 0.3
+MINUTES_AHEAD_MS = 10 * 60 * 1000
+
+
+class TestTransport(unittest.TestCase):
+    def setUp(self) -> None:
+        first, second = free_ports(2)
+        self.addresses = [f"tcp://{LOOPBACK}:{port}" for port in (first, second)]
+        self.clocks = [HybridClock(lambda: MINUTES_AHEAD_MS), HybridClock(lambda: 0)]
+        self.pair = [
+            Transport(f"t{number}", self.addresses[number], FrameCodec(KEY), self.clocks[number])
+            for number in (0, 1)
+        ]
+        self.got: list[Leave] = []
+        self.arrived = Event()
+        self.pair[1].handle(Leave, self._take)
+        for item in self.pair:
+            item.start()
+            self.addCleanup(item.close)
+
+    def _take(self, _sender: str, message: Leave) -> None:
+        self.got.append(message)
+        self.arrived.set()
+
+    def test_message_arrives_and_moves_the_clock(self) -> None:
+        self.pair[0].send(self.addresses[1], Leave("a", 1))
+        self.assertTrue(self.arrived.wait(WAIT_S))
+        self.assertEqual(self.got, [Leave("a", 1)])
+        self.assertGreater(self.clocks[1].tick(), HlcStamp(MINUTES_AHEAD_MS, 0))
+
+    def test_bad_frames_are_counted_and_harm_nobody(self) -> None:
+        stray = FrameCodec(b"not the key 0123456").encode(Frame("x", HlcStamp(0, 0), Leave("x", 1)))
+        with pynng.Push0(dial=self.addresses[1]) as socket:
+            for data in (stray, b"\x01garbage", b"\x09" + stray[1:]):
+                socket.send(data)
+            gevent.sleep(SETTLE_S)
+        self.pair[0].send(self.addresses[1], Leave("a", 2))
+        self.assertTrue(self.arrived.wait(WAIT_S))
+        self.assertEqual(self.got, [Leave("a", 2)])
+        self.assertEqual(self.pair[1].frames_unsigned, 1)
+        self.assertEqual(self.pair[1].frames_malformed, 2)
+
+    def test_full_link_drops_instead_of_blocking(self) -> None:
+        nobody = f"tcp://{LOOPBACK}:{free_ports(1)[0]}"
+        sent = [self.pair[0].send(nobody, Leave("a", number)) for number in range(1000)]
+        self.assertIn(False, sent)
+        self.assertEqual(self.pair[0].frames_dropped, sent.count(False))
