Count requests by the minute and hand the minutes to control

Every minute of every entry gives a summary, also an empty one: only so can a missing minute be told from a quiet one. A summary is taken by what the caller got, so an answer that lacks services counts as partial whatever it was called. The confirmation of a summary gained its revision: without it the late confirmation of a checkpoint would let the final summary of the minute go.

--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/account/summary_store.py
@@ -0,0 +1,135 @@
+"""Keeping of minute summaries at a control instance."""
+
+import datetime
+import logging
+from collections.abc import Mapping
+
+import gevent
+from gevent.queue import Full, Queue
+
+from spindle_daemon.components.account import const
+from spindle_daemon.components.account.summary_sink import SummarySink
+from spindle_daemon.core.spindle import Spindle
+from spindle_decisions.account.day import day_of_minute, first_minute_of
+from spindle_decisions.account.minute_summary import MinuteSummary, decode_summary
+from spindle_decisions.account.summaries_reply import SummariesReply
+from spindle_decisions.account.summary_ledger import SummaryLedger
+from spindle_decisions.exceptions import BadRequestError, FrameError, StorageError
+from spindle_decisions.wire.summary_ack import SummaryAck
+from spindle_decisions.wire.summary_report import SummaryReport
+
+_LOGGER = logging.getLogger(__name__)
+
+MINUTES_PER_HOUR = 60
+HOURS_PER_DAY = 24
+
+
+class SummaryStore:
+    """Writes summaries one after the other and confirms each after its sync.
+
+    Reports queue behind one writer, so the messages of the mesh never wait for
+    the disk. What finds the queue full is dropped; the entry sends it again.
+    """
+
+    def __init__(self, spindle: Spindle, sink: SummarySink) -> None:
+        self.spindle = spindle
+        self.sink = sink
+        self.control = spindle.settings.instance.name
+        self.ledger = SummaryLedger(const.MAX_DAY_BYTES)
+        self.queue: Queue = Queue(maxsize=const.STORE_QUEUE_REPORTS)
+        self.refused = 0
+        self.dropped = 0
+        self.greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to write."""
+        self.greenlet = gevent.spawn(self._write_forever)
+
+    def stop(self) -> None:
+        """Write no more; what is not confirmed goes to another control instance."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+
+    def on_report(self, sender: str, report: SummaryReport) -> None:
+        """Queue a report for writing."""
+        try:
+            self.queue.put_nowait(report)
+        except Full:
+            self.dropped += 1
+
+    def write(self, report: SummaryReport) -> None:
+        """Write a report if it is newer than what is held, and confirm it."""
+        summary = self._checked(report)
+        if summary is None:
+            return
+        day = day_of_minute(summary.minute)
+        self._know(day)
+        if self.ledger.is_newer(summary):
+            if not self.ledger.has_room(day, len(report.data)):
+                self._refuse(f"day {day} is full")
+                return
+            self.sink.put(report.instance, report.incarnation, report.minute, report.data)
+            self.ledger.add(summary, len(report.data))
+        ack = SummaryAck(
+            self.control, report.instance, report.incarnation, report.minute, summary.revision
+        )
+        self.spindle.transport.send(report.reply_to, ack)
+
+    def reply(self, arguments: Mapping[str, str]) -> SummariesReply:
+        """Answer `GET /v1/summaries` with the arguments `day` and `hour`, both in UTC.
+
+        Without `hour` the answer holds only the list of days. Raises
+        `BadRequestError` for arguments that cannot be read.
+        """
+        hour = arguments.get("hour")
+        if hour is None:
+            return SummariesReply(self.control, arguments.get("day", ""), -1, (), self.sink.days())
+        if not hour.isdecimal() or int(hour) >= HOURS_PER_DAY:
+            raise BadRequestError(f"hour is {hour!r}, expected 0 to 23")
+        day = arguments.get("day", "")
+        try:
+            first = first_minute_of(datetime.date.fromisoformat(day))
+        except ValueError:
+            raise BadRequestError(f"day is {day!r}, expected YYYY-MM-DD") from None
+        first += int(hour) * MINUTES_PER_HOUR
+        minutes = tuple(self.sink.load(first, first + MINUTES_PER_HOUR - 1))
+        return SummariesReply(self.control, day, int(hour), minutes, self.sink.days())
+
+    def _checked(self, report: SummaryReport) -> MinuteSummary | None:
+        try:
+            summary = decode_summary(report.data)
+        except FrameError as err:
+            self._refuse(str(err))
+            return None
+        told = (report.instance, report.incarnation, report.minute)
+        if told != (summary.instance, summary.incarnation, summary.minute):
+            self._refuse("the summary is another one than the report says")
+            return None
+        return summary
+
+    def _know(self, day: str) -> None:
+        if self.ledger.knows(day):
+            return
+        first = first_minute_of(datetime.date.fromisoformat(day))
+        last = first + HOURS_PER_DAY * MINUTES_PER_HOUR - 1
+        self.ledger.learn(day, self.sink.load(first, last))
+        self._forget_old_days()
+
+    def _forget_old_days(self) -> None:
+        for day in self.sink.days()[: -const.MAX_DAYS]:
+            _LOGGER.info("account: day %s is older than %s days and removed", day, const.MAX_DAYS)
+            self.sink.forget(day)
+
+    def _refuse(self, reason: str) -> None:
+        self.refused += 1
+        _LOGGER.warning("account: summary refused: %s", reason)
+
+    def _write_forever(self) -> None:
+        while True:
+            report = self.queue.get()
+            try:
+                self.write(report)
+            except StorageError as err:
+                _LOGGER.error("account: summary not written: %s", err)
+            except Exception:
+                _LOGGER.exception("account: summary not written")
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/account/coverage.py
@@ -0,0 +1,32 @@
+"""The buckets of coverage."""
+
+COVERAGE_BOUNDS = (0.5, 0.8, 0.9, 0.95, 0.99, 1.0)
+COVERAGE_LABELS = (
+    "none",
+    "under 50%",
+    "50% to 80%",
+    "80% to 90%",
+    "90% to 95%",
+    "95% to 99%",
+    "99% to 100%",
+    "all",
+)
+NONE_BUCKET = 0
+ALL_BUCKET = len(COVERAGE_LABELS) - 1
+
+
+def coverage_bucket(delivered: int, asked: int) -> int:
+    """Return the bucket of an answer that covers `delivered` of `asked` services.
+
+    The buckets include their lower end. Only an answer with every service is in
+    the last one: 1,299 of 1,300 is not "all".
+    """
+    if delivered <= 0:
+        return NONE_BUCKET
+    if delivered >= asked:
+        return ALL_BUCKET
+    share = delivered / asked
+    for bucket, bound in enumerate(COVERAGE_BOUNDS, start=1):
+        if share < bound:
+            return bucket
+    return ALL_BUCKET - 1
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/account/group_summary.py
@@ -0,0 +1,63 @@
+"""What one entry instance counted for one group in one minute."""
+
+import msgspec
+
+from spindle_decisions.account.named_count import NamedCount
+
+
+class GroupSummary(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Counts of one group.
+
+    Every request that ended is in exactly one of `answered` (whole and within
+    the target), `late` (whole, after the target), `partial`, `refused` by code,
+    `outcome_unknown` and `caller_gone`. `partial_late` and `refused_late` are
+    the part of these that came after the target. `in_flight` is the number of
+    requests that had arrived and not ended when the summary was taken.
+
+    `latency_whole` is the histogram over whole answers, `latency_other` the one
+    over all other ends; together they hold every request. `max_us` is exact.
+
+    Coverage counts what the caller got: a refusal covers nothing.
+    `coverage_unstated` counts ends of requests that never named their services,
+    such as a refusal before the catalog was read.
+
+    `needed` is the least number of sub-requests; the causes beyond it follow.
+    """
+
+    group: str
+    target_min_ms: int = 0
+    target_max_ms: int = 0
+    arrived: int = 0
+    in_flight: int = 0
+    answered: int = 0
+    late: int = 0
+    partial: int = 0
+    partial_late: int = 0
+    refused: tuple[NamedCount, ...] = ()
+    refused_late: int = 0
+    outcome_unknown: int = 0
+    caller_gone: int = 0
+    latency_whole: bytes = b""
+    latency_other: bytes = b""
+    max_us: int = 0
+    coverage: tuple[int, ...] = ()
+    coverage_unstated: int = 0
+    services_asked: int = 0
+    services_delivered: int = 0
+    missing: tuple[NamedCount, ...] = ()
+    missing_other: int = 0
+    needed: int = 0
+    hedges: int = 0
+    retries: int = 0
+    restarts: int = 0
+    cancelled: int = 0
+    probes: int = 0
+
+    def refusals(self) -> int:
+        """Return the number of refusals of all codes."""
+        return sum(item.count for item in self.refused)
+
+    def finished(self) -> int:
+        """Return the number of requests that ended."""
+        whole = self.answered + self.late
+        return whole + self.partial + self.refusals() + self.outcome_unknown + self.caller_gone
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/account/minute_counter.py
@@ -0,0 +1,129 @@
+"""The open minute of one entry instance."""
+
+from collections.abc import Callable
+
+from spindle_decisions.account.group_counter import GroupCounter
+from spindle_decisions.account.minute_summary import MS_PER_MINUTE, MinuteSummary
+from spindle_decisions.account.query_record import QueryRecord
+from spindle_decisions.account.span import Span
+
+MAX_GROUPS = 256
+FROZEN_MS = 5_000
+UNKNOWN_GROUP = "unknown"
+
+
+class MinuteCounter:
+    """Counts the requests of one process, minute by minute of its wall clock.
+
+    `tick` is called about once a second. A minute closes when the wall clock
+    has left it; a clock that was set back prolongs the open minute instead of
+    opening an earlier one again. When more than `FROZEN_MS` lie between two
+    ticks the process did not run, and that time is left out of the spans. In
+    every minute there is a summary, also without requests: only so can a
+    missing one be told from a quiet one.
+
+    `known` tells which group names the catalog holds. All others are counted
+    together, so that callers cannot fill the account with made-up names. A name
+    once known stays so for the run of the process.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        data_center: str,
+        known: Callable[[str], bool],
+        wall_ms: int,
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.data_center = data_center
+        self.known = known
+        self.names: set[str] = set()
+        self.in_flight: dict[str, int] = {}
+        self.seen_ms = wall_ms
+        self.spans: list[Span] = []
+        self._open(wall_ms, wall_ms)
+
+    def arrived(self, group: str) -> None:
+        """Count a request at its arrival."""
+        name = self._resolve(group)
+        self.in_flight[name] = self.in_flight.get(name, 0) + 1
+        self._counter(name).arrived += 1
+
+    def finished(self, record: QueryRecord) -> None:
+        """Count how a request ended."""
+        name = self._resolve(record.group)
+        self.in_flight[name] = self.in_flight.get(name, 0) - 1
+        self._counter(name).finished(record)
+
+    def probed(self, group: str) -> None:
+        """Count a sub-request that was sent only to learn whether an upstream is well."""
+        self._counter(self._resolve(group)).probes += 1
+
+    def tick(self, wall_ms: int) -> MinuteSummary | None:
+        """Take in the time; return the summary of the minute that is over, if one is."""
+        frozen = wall_ms - self.seen_ms > FROZEN_MS
+        if not frozen:
+            self._cover(wall_ms)
+        if wall_ms >= (self.minute + 1) * MS_PER_MINUTE:
+            summary = self._summary(final=True)
+            end_ms = (self.minute + 1) * MS_PER_MINUTE
+            self._open(wall_ms, wall_ms if frozen else end_ms)
+            return summary
+        if frozen:
+            self.spans.append(Span(wall_ms, wall_ms))
+        self.seen_ms = max(self.seen_ms, wall_ms)
+        return None
+
+    def checkpoint(self) -> MinuteSummary:
+        """Return the counts of the open minute so far."""
+        return self._summary(final=False)
+
+    def close(self, wall_ms: int) -> MinuteSummary:
+        """Return the summary of the open minute at a planned stop."""
+        self._cover(wall_ms)
+        return self._summary(final=True, last=True)
+
+    def _open(self, wall_ms: int, from_ms: int) -> None:
+        self.minute = wall_ms // MS_PER_MINUTE
+        self.seen_ms = wall_ms
+        self.revision = 0
+        self.spans = [Span(from_ms, wall_ms)]
+        self.groups: dict[str, GroupCounter] = {}
+
+    def _cover(self, wall_ms: int) -> None:
+        end = min(wall_ms, (self.minute + 1) * MS_PER_MINUTE)
+        span = self.spans[-1]
+        self.spans[-1] = Span(span.from_ms, max(span.to_ms, end))
+
+    def _summary(self, final: bool, last: bool = False) -> MinuteSummary:
+        self.revision += 1
+        busy = {name for name, count in self.in_flight.items() if count}
+        names = sorted(busy.union(self.groups))
+        groups = [self._counter(name).summary(self.in_flight.get(name, 0)) for name in names]
+        return MinuteSummary(
+            instance=self.instance,
+            incarnation=self.incarnation,
+            data_center=self.data_center,
+            minute=self.minute,
+            revision=self.revision,
+            spans=tuple(self.spans),
+            final=final,
+            last=last,
+            groups=tuple(groups),
+        )
+
+    def _counter(self, name: str) -> GroupCounter:
+        counter = self.groups.get(name)
+        if counter is None:
+            counter = self.groups[name] = GroupCounter(name)
+        return counter
+
+    def _resolve(self, group: str) -> str:
+        if group in self.names:
+            return group
+        if len(self.names) < MAX_GROUPS and self.known(group):
+            self.names.add(group)
+            return group
+        return UNKNOWN_GROUP
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/account/minute_summary.py
@@ -0,0 +1,54 @@
+"""What one entry instance counted in one minute."""
+
+import msgspec
+
+from spindle_decisions.account.group_summary import GroupSummary
+from spindle_decisions.account.span import Span
+from spindle_decisions.exceptions import FrameError
+
+MS_PER_MINUTE = 60_000
+MAX_SUMMARY_BYTES = 1024 * 1024
+
+
+class MinuteSummary(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One minute of one run of one entry instance.
+
+    `minute` is Unix time in minutes. Instance, incarnation and minute identify
+    a summary; of several with the same identity the highest `revision` holds
+    and the others are void. `spans` is the wall time for which the counts are
+    complete. `final` is set when the minute is over, `last` when the instance
+    stopped as planned and nothing follows.
+    """
+
+    instance: str
+    incarnation: int
+    data_center: str
+    minute: int
+    revision: int
+    spans: tuple[Span, ...] = ()
+    final: bool = False
+    last: bool = False
+    groups: tuple[GroupSummary, ...] = ()
+
+    def in_flight(self) -> int:
+        """Return the requests of all groups that had not ended."""
+        return sum(group.in_flight for group in self.groups)
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(MinuteSummary)
+
+
+def encode_summary(summary: MinuteSummary) -> bytes:
+    """Encode a summary for the way to a control instance and for its disk."""
+    return _ENCODER.encode(summary)
+
+
+def decode_summary(data: bytes) -> MinuteSummary:
+    """Decode a summary; raise `FrameError` when it is malformed or too large."""
+    if len(data) > MAX_SUMMARY_BYTES:
+        raise FrameError(f"summary of {len(data)} bytes, allowed {MAX_SUMMARY_BYTES}")
+    try:
+        return _DECODER.decode(data)
+    except msgspec.MsgspecError as err:
+        raise FrameError(f"summary is malformed: {err}") from err
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/account/summary_outbox.py
@@ -0,0 +1,82 @@
+"""The summaries of one entry instance that are not yet on a disk."""
+
+from spindle_decisions.account.outbox_send import OutboxSend
+from spindle_decisions.account.pending_minute import PendingMinute
+
+ACK_TIMEOUT_S = 2.0
+MAX_PENDING_MINUTES = 360
+MAX_PENDING_BYTES = 8 * 1024 * 1024
+WINDOW_BYTES = 16 * 1024
+
+
+class SummaryOutbox:
+    """Keeps every minute until a control instance has it on disk, and says what to send.
+
+    Summaries go to one control instance at a time. When it leaves one
+    unconfirmed for `ACK_TIMEOUT_S`, all unconfirmed ones go to the next. At most
+    `WINDOW_BYTES` are unconfirmed on the way at a time, but always one summary,
+    so that a backlog after a cut does not flood the network. Memory is bounded:
+    beyond the bounds the oldest minute is given up, counted, and will stand on
+    the page as a gap.
+    """
+
+    def __init__(self, controls: tuple[str, ...], first: int = 0) -> None:
+        self.controls = controls
+        self.current = first % len(controls)
+        self.minutes: dict[int, PendingMinute] = {}
+        self.bytes = 0
+        self.given_up = 0
+        self.moves = 0
+
+    def put(self, minute: int, revision: int, data: bytes) -> None:
+        """Keep a summary; it replaces an earlier revision of the same minute."""
+        self._remove(minute)
+        self.minutes[minute] = PendingMinute(minute, revision, data)
+        self.bytes += len(data)
+        while len(self.minutes) > 1 and self._is_over():
+            self._remove(next(iter(self.minutes)))
+            self.given_up += 1
+
+    def due(self, now: float) -> list[OutboxSend]:
+        """Return what to send now, oldest minute first."""
+        if self._has_expired(now):
+            self._move_on()
+        on_the_way = sum(
+            len(item.data) for item in self.minutes.values() if item.sent_at is not None
+        )
+        sends: list[OutboxSend] = []
+        for item in self.minutes.values():
+            if item.sent_at is not None:
+                continue
+            if on_the_way and on_the_way + len(item.data) > WINDOW_BYTES:
+                break
+            item.sent_at = now
+            on_the_way += len(item.data)
+            sends.append(OutboxSend(self.controls[self.current], item.minute, item.data))
+        return sends
+
+    def acked(self, minute: int, revision: int) -> None:
+        """Forget a minute that is on disk at this or a later revision."""
+        item = self.minutes.get(minute)
+        if item is not None and revision >= item.revision:
+            self._remove(minute)
+
+    def _is_over(self) -> bool:
+        return len(self.minutes) > MAX_PENDING_MINUTES or self.bytes > MAX_PENDING_BYTES
+
+    def _remove(self, minute: int) -> None:
+        item = self.minutes.pop(minute, None)
+        if item is not None:
+            self.bytes -= len(item.data)
+
+    def _has_expired(self, now: float) -> bool:
+        return any(
+            item.sent_at is not None and now - item.sent_at >= ACK_TIMEOUT_S
+            for item in self.minutes.values()
+        )
+
+    def _move_on(self) -> None:
+        self.current = (self.current + 1) % len(self.controls)
+        self.moves += 1
+        for item in self.minutes.values():
+            item.sent_at = None
--- a/packages/decisions/src/spindle_decisions/wire/summary_ack.py
+++ b/packages/decisions/src/spindle_decisions/wire/summary_ack.py
@@ -4,9 +4,10 @@
 
 
 class SummaryAck(msgspec.Struct, frozen=True, tag="summary-ack"):
-    """The minute is on disk at `control`."""
+    """The minute is on disk at `control`, at this revision or a later one."""
 
     control: str
     instance: str
     incarnation: int
     minute: int
+    revision: int = 0
