--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/contact_round.py
@@ -0,0 +1,11 @@
+"""One round of contact between a leader and the members."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class ContactRound:
+    """Round `number`, started by the leader at `started_at` on its own clock."""
+
+    number: int
+    started_at: float
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/elections.py
@@ -0,0 +1,216 @@
+"""Elections: pre-vote, vote, and who may campaign."""
+
+import logging
+
+from spindle_decisions.consensus.entry_kind import EntryKind
+from spindle_decisions.consensus.membership_entry import encode_membership
+from spindle_decisions.consensus.messages import PreVote, PreVoteReply, Vote, VoteReply
+from spindle_decisions.consensus.node_state import NodeState
+from spindle_decisions.consensus.raft_event_kind import RaftEventKind
+from spindle_decisions.consensus.replication import Replication
+from spindle_decisions.consensus.role import Role
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Elections:
+    """Campaigns for this node and answers the campaigns of others."""
+
+    def __init__(self, state: NodeState, replication: Replication) -> None:
+        self.state = state
+        self.replication = replication
+        self.granted: set[str] = set()
+        self.campaign_started_at = 0.0
+
+    def tick(self) -> None:
+        """Ask for an election when no leader was heard for too long."""
+        state = self.state
+        if state.candidacy is Role.LEADER or state.now < state.election_deadline:
+            return
+        state.reset_election_deadline()
+        if state.leader:
+            state.record(RaftEventKind.LEADER_LOST, "no word from the leader", state.leader)
+        state.leader = None
+        if state.forced and state.now > state.forced_until:
+            state.forced = None
+        if self.may_campaign():
+            self.start_pre_vote()
+
+    def may_campaign(self) -> bool:
+        """Return whether this node is a voter under its own folder and not removed since."""
+        return self.state.is_voter and not self.state.removed
+
+    def start_pre_vote(self) -> None:
+        """Ask the voters whether they would vote for this node."""
+        state = self.state
+        state.candidacy = Role.PRE_CANDIDATE
+        self.granted = {state.name}
+        for member in state.membership.voters():
+            if member.name == state.name:
+                continue
+            question = PreVote(
+                state.name,
+                state.folder_id,
+                member.name,
+                state.term + 1,
+                state.log.last_index,
+                state.log.last_term,
+            )
+            state.outbox.send(question)
+        self.count_pre_votes()
+
+    def count_pre_votes(self) -> None:
+        """Start the election once a majority would vote for this node."""
+        if self.state.counts(self.granted):
+            self.start_vote()
+
+    def start_vote(self) -> None:
+        """Enter the next term, vote for this node and ask for the other votes."""
+        state = self.state
+        state.candidacy = Role.CANDIDATE
+        state.enter_term(state.term + 1, state.name)
+        state.reset_election_deadline()
+        self.granted = set()
+        self.campaign_started_at = state.now
+        for member in state.membership.voters():
+            if member.name == state.name:
+                continue
+            request = Vote(
+                state.name,
+                state.folder_id,
+                member.name,
+                state.term,
+                state.log.last_index,
+                state.log.last_term,
+            )
+            state.outbox.send_after_sync(request)
+
+    def on_synced(self) -> None:
+        """Count the own vote once it is on disk."""
+        state = self.state
+        if state.candidacy is not Role.CANDIDATE:
+            return
+        if state.outbox.hard_state_seq > state.outbox.synced_seq:
+            return
+        self.granted.add(state.name)
+        self.count_votes()
+
+    def count_votes(self) -> None:
+        """Lead once a majority has voted for this node."""
+        if self.state.counts(self.granted):
+            self.become_leader()
+
+    def become_leader(self) -> None:
+        """Lead the present term, which begins with an entry of its own."""
+        state = self.state
+        state.candidacy = Role.LEADER
+        state.leader = state.name
+        entry = state.append_new(*self.first_content())
+        state.forced = None
+        self.replication.start(entry.index, self.granted, self.campaign_started_at)
+        _LOGGER.info("raft: became leader in term %s", state.term)
+        state.record(RaftEventKind.LEADER_ELECTED, "won the election", state.name)
+
+    def first_content(self) -> tuple[EntryKind, bytes]:
+        """Return what the first entry of a term carries."""
+        state = self.state
+        if state.forced is None:
+            return EntryKind.NOOP, b""
+        return EntryKind.MEMBERSHIP, encode_membership(state.forced, state.forced_reason)
+
+    def on_pre_vote(self, message: PreVote) -> None:
+        """Answer whether a vote would be given."""
+        state = self.state
+        if state.is_blank:
+            return
+        removed = self.was_removed(message)
+        granted = (
+            not removed
+            and not state.heard_leader_recently()
+            and message.term > state.term
+            and not state.log.covers(message.last_index, message.last_term)
+        )
+        term = message.term if granted else state.term
+        reply = PreVoteReply(state.name, state.folder_id, message.sender, term, granted, removed)
+        state.outbox.send_after_hard_state(reply)
+
+    def on_pre_vote_reply(self, message: PreVoteReply) -> None:
+        """Count the answer of a voter to the question that is being asked."""
+        state = self.state
+        if state.candidacy is not Role.PRE_CANDIDATE:
+            return
+        member = state.identified(message.sender, message.sender_folder)
+        if member is None:
+            return
+        if message.removed:
+            self.stop_campaigning(message.sender)
+            return
+        if not message.granted:
+            self.leave_for_term(message.term)
+            return
+        if message.term == state.term + 1 and member.voter:
+            self.granted.add(message.sender)
+            self.count_pre_votes()
+
+    def stop_campaigning(self, peer: str) -> None:
+        """Note that this folder is no longer in the membership."""
+        state = self.state
+        state.become_follower(state.term, None, "removed from the membership")
+        if state.removed:
+            return
+        state.removed = True
+        state.record(RaftEventKind.REFUSED, "this folder is no longer a member", peer)
+
+    def leave_for_term(self, term: int) -> None:
+        """Follow in a later term that a voter named."""
+        if term > self.state.term:
+            self.state.become_follower(term, None, "a later term exists")
+
+    def on_vote(self, message: Vote) -> None:
+        """Vote at most once in a term, for a log that is not older than this one."""
+        state = self.state
+        if state.is_blank or self.was_removed(message):
+            return
+        if message.term > state.term and state.heard_leader_recently():
+            return
+        if message.term > state.term:
+            state.become_follower(message.term, None, "a later term exists")
+        granted = self.may_vote_for(message)
+        if granted:
+            state.enter_term(state.term, message.sender)
+            state.reset_election_deadline()
+        reply = VoteReply(state.name, state.folder_id, message.sender, state.term, granted)
+        state.outbox.send_after_sync(reply)
+
+    def may_vote_for(self, message: Vote) -> bool:
+        """Return whether the vote of the present term may go to the sender."""
+        state = self.state
+        if message.term < state.term or state.vote not in ("", message.sender):
+            return False
+        if state.candidacy is Role.LEADER:
+            return False
+        return not state.log.covers(message.last_index, message.last_term)
+
+    def on_vote_reply(self, message: VoteReply) -> None:
+        """Count the vote of a voter."""
+        state = self.state
+        member = state.identified(message.sender, message.sender_folder)
+        if member is None:
+            return
+        if message.term > state.term:
+            self.leave_for_term(message.term)
+            return
+        if state.candidacy is not Role.CANDIDATE or message.term < state.term:
+            return
+        if message.granted and member.voter:
+            self.granted.add(message.sender)
+            self.count_votes()
+
+    def was_removed(self, message: PreVote | Vote) -> bool:
+        """Return whether a committed membership that the sender lacks leaves it out."""
+        state = self.state
+        mark = state.history.at(state.commit_index)
+        if (message.last_term, message.last_index) >= (mark.term, mark.index):
+            return False
+        member = mark.membership.find(message.sender)
+        return member is None or member.folder_id != message.sender_folder
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/following.py
@@ -0,0 +1,152 @@
+"""The follower: entries, heartbeats and snapshots from a leader."""
+
+import logging
+
+from spindle_decisions.consensus.log_entry import LogEntry
+from spindle_decisions.consensus.messages import (
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    InstallSnapshotReply,
+)
+from spindle_decisions.consensus.node_state import NodeState
+from spindle_decisions.consensus.raft_event_kind import RaftEventKind
+from spindle_decisions.consensus.role import Role
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Following:
+    """Takes in what a leader sends and answers it."""
+
+    def __init__(self, state: NodeState) -> None:
+        self.state = state
+
+    def on_append(self, message: Append) -> None:
+        """Take in entries that follow an entry which this log holds as well."""
+        state = self.state
+        if not self.accept_leader(message):
+            return
+        entries = message.entries
+        prev_index = message.prev_index
+        if prev_index < state.commit_index:
+            entries = tuple(entry for entry in entries if entry.index > state.commit_index)
+            prev_index = min(state.commit_index, prev_index + len(message.entries))
+        elif state.log.term_at(prev_index) != message.prev_term:
+            self.reject(message)
+            return
+        self.take_entries(entries)
+        match_index = prev_index + len(entries)
+        state.commit_index = max(state.commit_index, min(message.commit_index, match_index))
+        self.acknowledge(message, match_index)
+
+    def accept_leader(self, message: Append | InstallSnapshot) -> bool:
+        """Follow the sender if it leads the present term or a later one."""
+        state = self.state
+        if message.term < state.term:
+            self.refuse_old_leader(message)
+            return False
+        if message.term == state.term and state.candidacy is Role.LEADER:
+            _LOGGER.error("raft: %s also leads term %s", message.sender, state.term)
+            state.record(RaftEventKind.REFUSED, "second leader in one term", message.sender)
+            return False
+        if state.leader != message.sender:
+            state.record(RaftEventKind.LEADER_ELECTED, "heard from the leader", message.sender)
+        state.become_follower(message.term, message.sender, "another node leads")
+        state.leader_contact_at = state.now
+        contact_at = state.now - max(0.0, message.quorum_age_s)
+        state.quorum_contact_at = max(state.quorum_contact_at, contact_at)
+        state.removed = False
+        state.forced = None
+        state.reset_election_deadline()
+        return True
+
+    def refuse_old_leader(self, message: Append | InstallSnapshot) -> None:
+        """Tell the leader of an earlier term the present one."""
+        state = self.state
+        reply = AppendReply(state.name, state.folder_id, message.sender, state.term, False, 0, -1)
+        state.outbox.send_after_hard_state(reply)
+
+    def reject(self, message: Append) -> None:
+        """Name the newest entry that may be common, so that few steps back are needed."""
+        state = self.state
+        hint_index = state.log.newest_not_after(message.prev_index - 1, message.prev_term)
+        reply = AppendReply(
+            state.name,
+            state.folder_id,
+            message.sender,
+            state.term,
+            False,
+            0,
+            message.contact_round,
+            message.prev_index,
+            hint_index,
+            state.log.term_at(hint_index) or 0,
+        )
+        state.outbox.send_after_hard_state(reply)
+
+    def take_entries(self, entries: tuple[LogEntry, ...]) -> None:
+        """Append what is new, after cutting off what differs."""
+        state = self.state
+        for entry in entries:
+            if state.log.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= state.log.last_index:
+                state.truncate(entry.index)
+            state.append(entry)
+
+    def acknowledge(self, message: Append, match_index: int) -> None:
+        """Answer entries after their sync and a heartbeat at once, with what is synced."""
+        state = self.state
+        if message.entries:
+            reply = self.success(message, match_index)
+            state.outbox.send_after_sync(reply)
+            return
+        reply = self.success(message, min(match_index, state.outbox.persisted_index))
+        state.outbox.send_after_hard_state(reply)
+
+    def success(self, message: Append, match_index: int) -> AppendReply:
+        """Return the reply for a log that matched."""
+        state = self.state
+        return AppendReply(
+            state.name,
+            state.folder_id,
+            message.sender,
+            state.term,
+            True,
+            match_index,
+            message.contact_round,
+        )
+
+    def on_install_snapshot(self, message: InstallSnapshot) -> None:
+        """Take a snapshot in place of the log unless the log reaches as far."""
+        state = self.state
+        if not self.accept_leader(message):
+            return
+        snapshot = message.snapshot
+        if snapshot.index > state.commit_index:
+            self.take_snapshot(message)
+        match_index = min(snapshot.index, state.commit_index)
+        reply = InstallSnapshotReply(
+            state.name,
+            state.folder_id,
+            message.sender,
+            state.term,
+            match_index,
+            message.contact_round,
+        )
+        state.outbox.send_after_sync(reply)
+
+    def take_snapshot(self, message: InstallSnapshot) -> None:
+        """Commit up to the snapshot, from the own log if it holds the same entry."""
+        state = self.state
+        snapshot = message.snapshot
+        if state.log.term_at(snapshot.index) == snapshot.term:
+            state.commit_index = snapshot.index
+            return
+        state.install(snapshot)
+        state.record(
+            RaftEventKind.SNAPSHOT_TAKEN,
+            f"took the snapshot at index {snapshot.index}",
+            message.sender,
+        )
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/leadership.py
@@ -0,0 +1,35 @@
+"""The state that a node has only while it leads."""
+
+import collections
+import dataclasses
+
+from spindle_decisions.consensus.contact_round import ContactRound
+from spindle_decisions.consensus.pending_read import PendingRead
+from spindle_decisions.consensus.progress import Progress
+
+
+@dataclasses.dataclass
+class Leadership:
+    """Progress of the members, contact rounds and waiting reads of one term.
+
+    `first_index` is the entry with which the term began. Nothing of this term is
+    committed, and no membership change may start, before it is.
+    """
+
+    first_index: int
+    progress: dict[str, Progress] = dataclasses.field(default_factory=dict)
+    rounds: collections.deque[ContactRound] = dataclasses.field(default_factory=collections.deque)
+    reads: list[PendingRead] = dataclasses.field(default_factory=list)
+    next_heartbeat_at: float = 0.0
+
+    @property
+    def latest_round(self) -> int:
+        """Return the number of the newest contact round."""
+        return self.rounds[-1].number
+
+    def round_started_at(self, number: int) -> float | None:
+        """Return when a round started, `None` if that is too long ago."""
+        offset = number - self.rounds[0].number
+        if not 0 <= offset < len(self.rounds):
+            return None
+        return self.rounds[offset].started_at
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/messages/install_snapshot.py
@@ -0,0 +1,17 @@
+"""A whole snapshot from the leader."""
+
+import msgspec
+
+from spindle_decisions.consensus.snapshot import Snapshot
+
+
+class InstallSnapshot(msgspec.Struct, frozen=True, tag="raft-install-snapshot"):
+    """The newest snapshot of the leader, for a member whose next entry is no longer in the log."""
+
+    sender: str
+    sender_folder: str
+    recipient: str
+    term: int
+    snapshot: Snapshot
+    contact_round: int
+    quorum_age_s: float
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/node_state.py
@@ -0,0 +1,186 @@
+"""The state that the parts of a node share."""
+
+import logging
+import math
+import random
+
+from spindle_decisions.consensus.entry_kind import EntryKind
+from spindle_decisions.consensus.hard_state import HardState
+from spindle_decisions.consensus.leadership import Leadership
+from spindle_decisions.consensus.log_entry import LogEntry
+from spindle_decisions.consensus.member import Member
+from spindle_decisions.consensus.membership_history import MembershipHistory
+from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.consensus.outbox import Outbox
+from spindle_decisions.consensus.raft_event import RaftEvent
+from spindle_decisions.consensus.raft_event_kind import RaftEventKind
+from spindle_decisions.consensus.raft_log import RaftLog
+from spindle_decisions.consensus.read_ready import ReadReady
+from spindle_decisions.consensus.restored_state import RestoredState
+from spindle_decisions.consensus.role import Role
+from spindle_decisions.consensus.settings import RaftSettings
+from spindle_decisions.consensus.snapshot import Snapshot
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class NodeState:
+    """Term, log, membership, role and outbox of a node, with the changes all parts need.
+
+    `candidacy` is `PRE_CANDIDATE`, `CANDIDATE` or `LEADER` while the node is one
+    of them and `None` otherwise. `forced` is a membership that an operator imposed
+    and that no leader has put into the log yet.
+    """
+
+    def __init__(
+        self, settings: RaftSettings, restored: RestoredState, rng: random.Random, now: float
+    ) -> None:
+        self.settings = settings
+        self.name = settings.name
+        self.folder_id = restored.folder_id
+        self.rng = rng
+        self.now = now
+        self.started_at = now
+        self.term = restored.hard_state.term
+        self.vote = restored.hard_state.vote
+        self.log = RaftLog()
+        self.history = MembershipHistory()
+        self.load_log(restored)
+        self.commit_index = self.log.base_index
+        self.applied_index = self.log.base_index
+        self.outbox = Outbox(self.log.last_index)
+        self.candidacy: Role | None = None
+        self.leader: str | None = None
+        self.leader_contact_at = -math.inf
+        self.quorum_contact_at = -math.inf
+        self.election_deadline = 0.0
+        self.leadership: Leadership | None = None
+        self.removed = False
+        self.forced: MembershipSet | None = None
+        self.forced_reason = ""
+        self.forced_until = 0.0
+        self.events: list[RaftEvent] = []
+        self.reads_ready: list[ReadReady] = []
+        self.restore: Snapshot | None = None
+        self.reset_election_deadline()
+
+    def load_log(self, restored: RestoredState) -> None:
+        """Fill log and membership history from the data folder."""
+        if restored.snapshot:
+            self.log.reset(restored.snapshot)
+            self.history.reset(restored.snapshot)
+        for entry in restored.entries:
+            if entry.index <= self.log.base_index:
+                continue
+            self.log.append(entry)
+            self.history.append(entry)
+
+    @property
+    def membership(self) -> MembershipSet:
+        """Return the membership in force for this node."""
+        return self.forced or self.history.latest.membership
+
+    @property
+    def me(self) -> Member | None:
+        """Return this node as a member, `None` if its folder is not in the membership."""
+        return self.identified(self.name, self.folder_id)
+
+    @property
+    def is_blank(self) -> bool:
+        """Return whether this node knows no membership."""
+        return not self.membership.members
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether this node votes in the membership that it knows."""
+        return self.me is not None and self.me.voter
+
+    @property
+    def role(self) -> Role:
+        """Return the present role."""
+        if self.candidacy:
+            return self.candidacy
+        if self.is_blank:
+            return Role.BLANK
+        return Role.FOLLOWER if self.is_voter else Role.LEARNER
+
+    @property
+    def quorum(self) -> int:
+        """Return how many voters are a majority."""
+        return len(self.membership.voters()) // 2 + 1
+
+    def identified(self, name: str, folder_id: str) -> Member | None:
+        """Return the member of that name if it has that folder."""
+        member = self.membership.find(name)
+        if member is None or member.folder_id != folder_id:
+            return None
+        return member
+
+    def counts(self, names: set[str]) -> bool:
+        """Return whether the named members hold a majority of the votes."""
+        votes = sum(1 for member in self.membership.voters() if member.name in names)
+        return votes >= self.quorum
+
+    def heard_leader_recently(self) -> bool:
+        """Return whether a vote for another node would disturb a leader that works."""
+        if self.candidacy is Role.LEADER:
+            return True
+        return self.now - self.leader_contact_at < self.settings.election_min_s
+
+    def reset_election_deadline(self) -> None:
+        """Wait anew, a random time, before asking for an election."""
+        low = self.settings.election_min_s
+        high = self.settings.election_max_s
+        self.election_deadline = self.now + self.rng.uniform(low, high)
+
+    def enter_term(self, term: int, vote: str) -> None:
+        """Set term and vote; messages that rest on them wait for the sync."""
+        self.term = term
+        self.vote = vote
+        self.outbox.set_hard_state(HardState(term, vote))
+
+    def become_follower(self, term: int, leader: str | None, reason: str) -> None:
+        """Follow in `term`, which is never below the present one."""
+        if self.candidacy is Role.LEADER:
+            self.lose_leadership(reason)
+        if term > self.term:
+            self.enter_term(term, "")
+        self.candidacy = None
+        self.leader = leader
+
+    def lose_leadership(self, reason: str) -> None:
+        """Drop what belongs to the leadership; waiting reads go with it."""
+        self.leadership = None
+        self.reads_ready = []
+        _LOGGER.info("raft: lost leadership of term %s, %s", self.term, reason)
+        self.record(RaftEventKind.LEADER_LOST, reason, self.name)
+
+    def append_new(self, kind: EntryKind, data: bytes) -> LogEntry:
+        """Append an entry of the present term as its leader."""
+        entry = LogEntry(self.log.last_index + 1, self.term, kind, data)
+        self.append(entry)
+        return entry
+
+    def append(self, entry: LogEntry) -> None:
+        """Append an entry to the log and to the next batch."""
+        self.log.append(entry)
+        self.history.append(entry)
+        self.outbox.append(entry)
+
+    def truncate(self, index: int) -> None:
+        """Cut off the log from `index` on."""
+        self.log.truncate(index)
+        self.history.truncate(index)
+        self.outbox.truncate(index)
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Replace log and membership by a snapshot."""
+        self.log.reset(snapshot)
+        self.history.reset(snapshot)
+        self.outbox.install(snapshot)
+        self.commit_index = snapshot.index
+        self.applied_index = snapshot.index
+
+    def record(self, kind: RaftEventKind, reason: str, peer: str = "") -> None:
+        """Put an event on the time line."""
+        self.events.append(RaftEvent(kind, self.term, reason, peer))
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/operator_acts.py
@@ -0,0 +1,84 @@
+"""What only an operator may do to a node: the first membership, and a forced one."""
+
+import logging
+import math
+
+from spindle_decisions.consensus.const import FORCE_WINDOW_S, MAX_MEMBERS
+from spindle_decisions.consensus.elections import Elections
+from spindle_decisions.consensus.hard_state import HardState
+from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.consensus.node_state import NodeState
+from spindle_decisions.consensus.raft_event_kind import RaftEventKind
+from spindle_decisions.consensus.role import Role
+from spindle_decisions.consensus.snapshot import Snapshot
+from spindle_decisions.exceptions import MembershipChangeError
+
+_LOGGER = logging.getLogger(__name__)
+
+BOOTSTRAP_INDEX = 1
+BOOTSTRAP_TERM = 1
+
+
+class OperatorActs:
+    """Checks and carries out the acts that no node does by itself."""
+
+    def __init__(self, state: NodeState, elections: Elections) -> None:
+        self.state = state
+        self.elections = elections
+
+    def bootstrap(self, membership: MembershipSet) -> None:
+        """Begin the log of a blank node with a membership."""
+        state = self.state
+        self.check(membership)
+        if not state.is_blank:
+            self.check_repeat(membership)
+            return
+        if state.term or state.log.last_index:
+            raise MembershipChangeError("this node follows a leader already")
+        snapshot = Snapshot(BOOTSTRAP_INDEX, BOOTSTRAP_TERM, membership, b"")
+        state.install(snapshot)
+        state.term = BOOTSTRAP_TERM
+        state.outbox.set_hard_state(HardState(BOOTSTRAP_TERM))
+        state.reset_election_deadline()
+        state.record(RaftEventKind.MEMBERS_CHANGED, "first membership")
+
+    def check_repeat(self, membership: MembershipSet) -> None:
+        """Refuse a first membership that differs from what the node holds."""
+        if self.state.membership != membership:
+            raise MembershipChangeError("this node has another membership already")
+
+    def check(self, membership: MembershipSet) -> None:
+        """Refuse a membership that is malformed or in which this node does not vote."""
+        names = [member.name for member in membership.members]
+        if not 0 < len(names) <= MAX_MEMBERS or names != sorted(set(names)):
+            raise MembershipChangeError(f"1 to {MAX_MEMBERS} members, sorted, each named once")
+        me = membership.find(self.state.name)
+        if me is None or me.folder_id != self.state.folder_id or not me.voter:
+            raise MembershipChangeError("this node with its folder must be a voter")
+
+    def force(self, membership: MembershipSet, reason: str) -> None:
+        """Campaign under a membership that replaces the one in the log."""
+        state = self.state
+        self.check(membership)
+        self.check_majority_lost()
+        state.forced = membership
+        state.forced_reason = f"forced: {reason}"
+        state.forced_until = state.now + FORCE_WINDOW_S
+        state.removed = False
+        _LOGGER.warning("raft: membership forced, %s", reason)
+        state.record(RaftEventKind.MEMBERS_FORCED, reason, state.name)
+        self.elections.start_pre_vote()
+
+    def check_majority_lost(self) -> None:
+        """Refuse to force a membership while a leader or a quorum may be there."""
+        state = self.state
+        if state.is_blank:
+            raise MembershipChangeError("a blank node has nothing to go on with")
+        if state.candidacy is Role.LEADER:
+            raise MembershipChangeError("this node leads and has a quorum")
+        silent_since = max(state.quorum_contact_at, state.leader_contact_at, state.started_at)
+        silent_s = state.now - silent_since
+        if silent_s <= state.settings.lease_s:
+            raise MembershipChangeError(
+                f"a quorum may be reachable; wait {math.ceil(state.settings.lease_s)} s without one"
+            )
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/outbox.py
@@ -0,0 +1,168 @@
+"""What waits for the disk, and the messages that rest on it."""
+
+import dataclasses
+
+from spindle_decisions.consensus.hard_state import HardState
+from spindle_decisions.consensus.log_entry import LogEntry
+from spindle_decisions.consensus.messages import RaftMessage
+from spindle_decisions.consensus.persist_batch import PersistBatch
+from spindle_decisions.consensus.snapshot import Snapshot
+
+
+@dataclasses.dataclass(frozen=True)
+class HeldMessage:
+    """A message that leaves once batch `seq` is synced."""
+
+    seq: int
+    message: RaftMessage
+
+
+class Outbox:
+    """Gathers state for the next batch while one is being synced.
+
+    `persisted_index` is the last index up to which the log in memory is on disk.
+    `synced_seq` is the last batch known to be synced. A message sent through
+    `send_after_sync` leaves once all that was gathered before it is on disk.
+    """
+
+    def __init__(self, persisted_index: int) -> None:
+        self.persisted_index = persisted_index
+        self.synced_seq = 0
+        self.outstanding: PersistBatch | None = None
+        self.outstanding_since = 0.0
+        self.hard_state_seq = 0
+        self.ready: list[RaftMessage] = []
+        self.held: list[HeldMessage] = []
+        self.next_seq = 1
+        self.next_hard_state: HardState | None = None
+        self.next_truncate_from = 0
+        self.next_entries: list[LogEntry] = []
+        self.next_snapshot: Snapshot | None = None
+        self.scheduled_index = persisted_index
+        self.valid_index = 0
+        self.replaced = False
+
+    def set_hard_state(self, hard_state: HardState) -> None:
+        """Put term and vote into the next batch."""
+        self.next_hard_state = hard_state
+        self.hard_state_seq = self.next_seq
+
+    def append(self, entry: LogEntry) -> None:
+        """Put an entry into the next batch."""
+        self.next_entries.append(entry)
+
+    def truncate(self, index: int) -> None:
+        """Cut the log off from `index` on."""
+        self.next_entries = [entry for entry in self.next_entries if entry.index < index]
+        self.persisted_index = min(self.persisted_index, index - 1)
+        self.valid_index = min(self.valid_index, index - 1)
+        if index > self.scheduled_index:
+            return
+        self.scheduled_index = index - 1
+        self.next_truncate_from = index
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Replace the whole log by a snapshot."""
+        self.next_snapshot = snapshot
+        self.next_entries = []
+        self.next_truncate_from = 0
+        self.persisted_index = 0
+        self.scheduled_index = snapshot.index
+        self.replaced = True
+
+    def send(self, message: RaftMessage) -> None:
+        """Send a message that rests on nothing."""
+        self.ready.append(message)
+
+    def send_after_hard_state(self, message: RaftMessage) -> None:
+        """Send a message once the present term and vote are on disk."""
+        self.send_after(self.hard_state_seq, message)
+
+    def send_after_sync(self, message: RaftMessage) -> None:
+        """Send a message once everything gathered so far is on disk."""
+        self.send_after(self.newest_seq, message)
+
+    def send_after(self, seq: int, message: RaftMessage) -> None:
+        """Send a message once batch `seq` is synced."""
+        if seq <= self.synced_seq:
+            self.ready.append(message)
+            return
+        self.held.append(HeldMessage(seq, message))
+
+    @property
+    def newest_seq(self) -> int:
+        """Return the batch that holds what was gathered last."""
+        if self.has_next:
+            return self.next_seq
+        return self.next_seq - 1
+
+    @property
+    def has_next(self) -> bool:
+        """Return whether anything waits for the next batch."""
+        return bool(
+            self.next_entries
+            or self.next_hard_state
+            or self.next_truncate_from
+            or self.next_snapshot
+        )
+
+    def take_batch(self, now: float) -> PersistBatch | None:
+        """Return the next batch unless one is being synced or nothing waits."""
+        if self.outstanding or not self.has_next:
+            return None
+        batch = PersistBatch(
+            self.next_seq,
+            self.next_hard_state,
+            self.next_truncate_from,
+            tuple(self.next_entries),
+            self.next_snapshot,
+        )
+        if batch.entries:
+            self.scheduled_index = batch.entries[-1].index
+        self.valid_index = self.scheduled_index
+        self.replaced = False
+        self.next_seq += 1
+        self.next_hard_state = None
+        self.next_truncate_from = 0
+        self.next_entries = []
+        self.next_snapshot = None
+        self.outstanding = batch
+        self.outstanding_since = now
+        return batch
+
+    def take_ready(self) -> tuple[RaftMessage, ...]:
+        """Return the messages that may leave."""
+        messages = tuple(self.ready)
+        self.ready = []
+        return messages
+
+    def persisted(self, seq: int, term: int) -> PersistBatch | None:
+        """Note that batch `seq` is synced and return it; `None` if it is not being synced.
+
+        Messages of terms before `term` are dropped instead of released.
+        """
+        batch = self.outstanding
+        if batch is None or batch.seq != seq:
+            return None
+        self.outstanding = None
+        self.synced_seq = seq
+        self.release(term)
+        if self.replaced:
+            return batch
+        if batch.snapshot:
+            self.persisted_index = batch.snapshot.index
+        if batch.entries:
+            synced = min(batch.entries[-1].index, self.valid_index)
+            self.persisted_index = max(self.persisted_index, synced)
+        return batch
+
+    def release(self, term: int) -> None:
+        """Move the held messages that rest on synced batches to the ready ones."""
+        waiting: list[HeldMessage] = []
+        for held in self.held:
+            if held.seq > self.synced_seq:
+                waiting.append(held)
+                continue
+            if held.message.term >= term:
+                self.ready.append(held.message)
+        self.held = waiting
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/pending_read.py
@@ -0,0 +1,12 @@
+"""A read that is not confirmed yet."""
+
+import dataclasses
+
+
+@dataclasses.dataclass
+class PendingRead:
+    """Read `read_id` at `index`; confirmed when a quorum answers `contact_round`."""
+
+    read_id: int
+    index: int
+    contact_round: int | None = None
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/progress_mode.py
@@ -0,0 +1,11 @@
+"""How a leader feeds one member."""
+
+import enum
+
+
+class ProgressMode(enum.IntEnum):
+    """Search for the common entry, stream entries, or wait for a snapshot to arrive."""
+
+    PROBE = 0
+    STREAM = 1
+    SNAPSHOT = 2
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/raft_log.py
@@ -0,0 +1,96 @@
+"""The log in memory."""
+
+import bisect
+
+from spindle_decisions.consensus.log_entry import LogEntry
+from spindle_decisions.consensus.snapshot import Snapshot
+
+ENTRY_OVERHEAD_BYTES = 32
+
+
+class RaftLog:
+    """The entries after `base_index`, and the newest snapshot, which is never before it.
+
+    A snapshot may reach further than `base_index`: then entries are kept behind it
+    for members that are a little behind.
+    """
+
+    def __init__(self) -> None:
+        self.base_index = 0
+        self.base_term = 0
+        self.entries: list[LogEntry] = []
+        self.snapshot: Snapshot | None = None
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of the entry at `index`, `None` if it is not known."""
+        if index == self.base_index:
+            return self.base_term
+        if index < self.base_index or index > self.last_index:
+            return None
+        return self.entries[index - self.base_index - 1].term
+
+    def append(self, entry: LogEntry) -> None:
+        """Append the entry that follows the last one."""
+        self.entries.append(entry)
+
+    def truncate(self, index: int) -> None:
+        """Cut off the entry at `index` and all after it."""
+        del self.entries[index - self.base_index - 1 :]
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Replace everything by a snapshot."""
+        self.base_index = snapshot.index
+        self.base_term = snapshot.term
+        self.entries = []
+        self.snapshot = snapshot
+
+    def compact(self, snapshot: Snapshot, keep_entries: int) -> None:
+        """Take a newer snapshot of the own state and drop what is far behind it."""
+        self.snapshot = snapshot
+        cut = min(snapshot.index - keep_entries, self.last_index)
+        if cut <= self.base_index:
+            return
+        term = self.term_at(cut)
+        del self.entries[: cut - self.base_index]
+        self.base_index = cut
+        self.base_term = term or 0
+
+    def between(self, first: int, last: int) -> tuple[LogEntry, ...]:
+        """Return the entries from `first` to `last`, both included."""
+        start = first - self.base_index - 1
+        return tuple(self.entries[start : last - self.base_index])
+
+    def chunk(self, first: int, max_bytes: int) -> tuple[LogEntry, ...]:
+        """Return entries from `first` on, at least one, up to about `max_bytes`."""
+        start = first - self.base_index - 1
+        size = 0
+        stop = start
+        while stop < len(self.entries):
+            size += len(self.entries[stop].data) + ENTRY_OVERHEAD_BYTES
+            if size > max_bytes and stop > start:
+                break
+            stop += 1
+        return tuple(self.entries[start:stop])
+
+    def newest_not_after(self, index: int, term: int) -> int:
+        """Return the newest index, at most `index`, whose term is at most `term`.
+
+        The base index is the answer when all entries are of later terms.
+        """
+        stop = max(0, min(index, self.last_index) - self.base_index)
+        found = bisect.bisect_right(self.entries, term, 0, stop, key=lambda entry: entry.term)
+        return self.base_index + found
+
+    def covers(self, last_index: int, last_term: int) -> bool:
+        """Return whether this log is newer than one that ends with the given entry."""
+        return (self.last_term, self.last_index) > (last_term, last_index)
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/raft_node.py
@@ -0,0 +1,324 @@
+"""One node of the agreement, as pure decisions."""
+
+import math
+import random
+
+from spindle_decisions.consensus.elections import Elections
+from spindle_decisions.consensus.entry_kind import EntryKind
+from spindle_decisions.consensus.following import Following
+from spindle_decisions.consensus.leadership import Leadership
+from spindle_decisions.consensus.log_entry import LogEntry
+from spindle_decisions.consensus.membership_change import MembershipChange
+from spindle_decisions.consensus.membership_change_kind import MembershipChangeKind
+from spindle_decisions.consensus.membership_changes import MembershipChanges
+from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.consensus.messages import (
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    InstallSnapshotReply,
+    JoinRequest,
+    PreVote,
+    PreVoteReply,
+    RaftMessage,
+    Vote,
+    VoteReply,
+)
+from spindle_decisions.consensus.node_state import NodeState
+from spindle_decisions.consensus.operator_acts import OperatorActs
+from spindle_decisions.consensus.progress import Progress
+from spindle_decisions.consensus.proposed_at import ProposedAt
+from spindle_decisions.consensus.raft_event_kind import RaftEventKind
+from spindle_decisions.consensus.reads import Reads
+from spindle_decisions.consensus.ready import Ready
+from spindle_decisions.consensus.repair import Repair
+from spindle_decisions.consensus.replication import Replication
+from spindle_decisions.consensus.restored_state import RestoredState
+from spindle_decisions.consensus.role import Role
+from spindle_decisions.consensus.settings import RaftSettings
+from spindle_decisions.consensus.snapshot import Snapshot
+from spindle_decisions.exceptions import NotLeaderError
+
+
+class RaftNode:
+    """A node that is told of time, messages, syncs and proposals and says what to do.
+
+    Every call that carries `now`, in monotonic seconds, first gives up a leadership
+    whose last contact with a quorum is too old, so that a process which was frozen
+    acts on nothing it believed before. What is to be done is collected by `poll`.
+
+    Example of a driver:
+
+        node.receive(now, message)
+        ready = node.poll()
+        send(ready.messages)
+        sync(ready.batch)
+        node.persisted(now, ready.batch.seq)
+    """
+
+    def __init__(self, state: NodeState) -> None:
+        self.state = state
+        self.replication = Replication(state)
+        self.elections = Elections(state, self.replication)
+        self.following = Following(state)
+        self.reads = Reads(state, self.replication)
+        self.changes = MembershipChanges(state, self.replication)
+        self.repair = Repair(state, self.changes)
+        self.operator_acts = OperatorActs(state, self.elections)
+
+    @property
+    def role(self) -> Role:
+        """Return the present role."""
+        return self.state.role
+
+    @property
+    def term(self) -> int:
+        """Return the present term."""
+        return self.state.term
+
+    @property
+    def leader(self) -> str | None:
+        """Return the name of the leader of the present term, if it is known."""
+        return self.state.leader
+
+    @property
+    def commit_index(self) -> int:
+        """Return the index up to which the log is known to be committed."""
+        return self.state.commit_index
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry, committed or not."""
+        return self.state.log.last_index
+
+    @property
+    def membership(self) -> MembershipSet:
+        """Return the membership in force."""
+        return self.state.membership
+
+    @property
+    def progress(self) -> dict[str, Progress]:
+        """Return what the leader knows of the other members; empty on other nodes."""
+        lead = self.state.leadership
+        return lead.progress if lead else {}
+
+    def membership_at(self, index: int) -> MembershipSet:
+        """Return the membership in force at `index`, for a snapshot taken there."""
+        return self.state.history.at(index).membership
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of the entry at `index`, `None` if it is no longer known."""
+        return self.state.log.term_at(index)
+
+    def tick(self, now: float) -> None:
+        """Let time pass: elections, heartbeats and requests for admission."""
+        lead = self.advance(now)
+        if lead:
+            self.replication.tick(lead)
+            return
+        self.elections.tick()
+        self.repair.tick()
+
+    def advance(self, now: float) -> Leadership | None:
+        """Move the clock and return the leadership if it is still backed by a quorum."""
+        state = self.state
+        state.now = max(state.now, now)
+        lead = state.leadership
+        if lead is None:
+            return None
+        reason = self.reason_to_step_down(lead)
+        if reason is None:
+            return lead
+        state.quorum_contact_at = self.replication.quorum_contact(lead, state.now)
+        state.become_follower(state.term, None, reason)
+        state.reset_election_deadline()
+        return None
+
+    def reason_to_step_down(self, lead: Leadership) -> str | None:
+        """Return why this node may no longer lead, or `None`."""
+        state = self.state
+        if self.replication.quorum_age(lead, state.now) > state.settings.election_max_s:
+            return "no quorum was heard"
+        outbox = state.outbox
+        if outbox.outstanding and state.now - outbox.outstanding_since > state.settings.lease_s:
+            return "the own disk does not sync"
+        return None
+
+    def receive(self, now: float, message: RaftMessage) -> None:
+        """Take in a message of another node."""
+        lead = self.advance(now)
+        if message.recipient != self.state.name or message.sender == self.state.name:
+            return
+        match message:
+            case Append():
+                self.following.on_append(message)
+            case InstallSnapshot():
+                self.following.on_install_snapshot(message)
+            case PreVote():
+                self.elections.on_pre_vote(message)
+            case PreVoteReply():
+                self.elections.on_pre_vote_reply(message)
+            case Vote():
+                self.elections.on_vote(message)
+            case VoteReply():
+                self.elections.on_vote_reply(message)
+            case AppendReply() | InstallSnapshotReply():
+                self.receive_reply(lead, message)
+            case JoinRequest():
+                if lead:
+                    self.repair.on_join_request(lead, message)
+
+    def receive_reply(
+        self, lead: Leadership | None, message: AppendReply | InstallSnapshotReply
+    ) -> None:
+        """Take in the answer of a member to what this node sent as leader."""
+        state = self.state
+        if state.identified(message.sender, message.sender_folder) is None:
+            return
+        if message.term > state.term:
+            state.become_follower(message.term, None, "a later term exists")
+            return
+        if lead is None or message.term < state.term:
+            return
+        if isinstance(message, AppendReply):
+            self.replication.on_append_reply(lead, message)
+        else:
+            self.replication.on_snapshot_reply(lead, message)
+        self.reads.confirm(lead)
+        self.repair.promote_ready(lead)
+
+    def propose(self, now: float, data: bytes) -> ProposedAt:
+        """Append a command and return its place; raises `NotLeaderError` elsewhere."""
+        self.leading(now)
+        entry = self.state.append_new(EntryKind.COMMAND, data)
+        return ProposedAt(entry.index, entry.term)
+
+    def propose_membership(self, now: float, change: MembershipChange) -> ProposedAt:
+        """Append a membership change and return its place.
+
+        Raises `NotLeaderError` elsewhere and `MembershipChangeError` if it is refused.
+        """
+        lead = self.leading(now)
+        if change.kind is MembershipChangeKind.ADD_LEARNER and not change.folder_id:
+            folder_id = self.repair.requests.get(change.name, "")
+            change = MembershipChange(change.kind, change.name, folder_id, change.reason)
+        entry = self.changes.propose(lead, change)
+        return ProposedAt(entry.index, entry.term)
+
+    def request_read(self, now: float) -> int:
+        """Return the id of a read that `poll` will report once a quorum confirmed it.
+
+        Raises `NotLeaderError` elsewhere. Reads that are not reported before the event
+        `LEADER_LOST` never will be.
+        """
+        return self.reads.request(self.leading(now))
+
+    def leading(self, now: float) -> Leadership:
+        """Return the leadership or raise `NotLeaderError`."""
+        lead = self.advance(now)
+        if lead is None:
+            raise NotLeaderError(self.state.leader)
+        return lead
+
+    def bootstrap(self, membership: MembershipSet) -> None:
+        """Give a blank node its first membership; an identical repeat changes nothing.
+
+        Raises `MembershipChangeError` on a node that holds anything else.
+        """
+        self.operator_acts.bootstrap(membership)
+
+    def force_membership(self, now: float, membership: MembershipSet, reason: str) -> None:
+        """Impose a membership after a majority was lost for good.
+
+        The node campaigns under it and, once elected, writes it into the log with the
+        reason. Raises `MembershipChangeError` while a quorum may be reachable.
+        """
+        self.advance(now)
+        self.operator_acts.force(membership, reason)
+
+    def poll(self) -> Ready:
+        """Collect what is to be done."""
+        state = self.state
+        if state.leadership:
+            self.reads.flush(state.leadership)
+            self.replication.flush(state.leadership)
+        batch = state.outbox.take_batch(state.now)
+        committed = self.take_committed()
+        ready = Ready(
+            state.outbox.take_ready(),
+            batch,
+            committed,
+            state.restore,
+            tuple(state.reads_ready),
+            tuple(state.events),
+        )
+        state.restore = None
+        state.reads_ready = []
+        state.events = []
+        return ready
+
+    def take_committed(self) -> tuple[LogEntry, ...]:
+        """Return the entries that are committed and on the own disk, each once."""
+        state = self.state
+        last = min(state.commit_index, state.outbox.persisted_index)
+        if last <= state.applied_index:
+            return ()
+        entries = state.log.between(state.applied_index + 1, last)
+        state.applied_index = last
+        for entry in entries:
+            if entry.kind is EntryKind.MEMBERSHIP:
+                self.on_membership_committed(entry)
+        return entries
+
+    def on_membership_committed(self, entry: LogEntry) -> None:
+        """Report a committed membership, and stop leading if this node is no voter in it."""
+        state = self.state
+        members = ", ".join(
+            member.name if member.voter else f"{member.name} (learner)"
+            for member in self.membership_at(entry.index).members
+        )
+        state.record(RaftEventKind.MEMBERS_CHANGED, f"members are {members}")
+        if state.leadership and not state.is_voter:
+            state.become_follower(state.term, None, "removed from the membership")
+
+    def persisted(self, now: float, seq: int) -> None:
+        """Take in that batch `seq` is synced."""
+        lead = self.advance(now)
+        state = self.state
+        batch = state.outbox.persisted(seq, state.term)
+        if batch is None:
+            return
+        if batch.snapshot:
+            state.restore = batch.snapshot
+        self.elections.on_synced()
+        if lead:
+            self.replication.advance_commit(lead)
+
+    def compacted(self, snapshot: Snapshot) -> None:
+        """Drop the log up to a snapshot of the applied state that is on disk."""
+        state = self.state
+        newest = state.log.snapshot
+        if newest and snapshot.index <= newest.index:
+            return
+        state.log.compact(snapshot, state.settings.keep_entries)
+        state.history.compact(state.log.base_index)
+
+    def quorum_age(self, now: float) -> float:
+        """Return the seconds since a quorum was last heard, itself or through a leader."""
+        state = self.state
+        if state.leadership:
+            return self.replication.quorum_age(state.leadership, now)
+        if state.quorum_contact_at == -math.inf:
+            return math.inf
+        return max(0.0, now - state.quorum_contact_at)
+
+    def is_stale(self, now: float) -> bool:
+        """Return whether the last contact with a quorum is older than the lease."""
+        return self.quorum_age(now) > self.state.settings.lease_s
+
+
+def create_raft_node(
+    settings: RaftSettings, restored: RestoredState, rng: random.Random, now: float
+) -> RaftNode:
+    """Return a node over what its data folder held, at monotonic time `now`."""
+    return RaftNode(NodeState(settings, restored, rng, now))
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/read_ready.py
@@ -0,0 +1,10 @@
+"""A confirmed read."""
+
+import msgspec
+
+
+class ReadReady(msgspec.Struct, frozen=True):
+    """Read `read_id` may be served once the entry at `index` has been applied."""
+
+    read_id: int
+    index: int
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/repair.py
@@ -0,0 +1,109 @@
+"""The way of an emptied or new data folder into the membership."""
+
+import logging
+
+from spindle_decisions.consensus.const import MAX_JOIN_REQUESTS
+from spindle_decisions.consensus.leadership import Leadership
+from spindle_decisions.consensus.member import Member
+from spindle_decisions.consensus.membership_change import MembershipChange
+from spindle_decisions.consensus.membership_change_kind import MembershipChangeKind
+from spindle_decisions.consensus.membership_changes import MembershipChanges
+from spindle_decisions.consensus.messages import JoinRequest
+from spindle_decisions.consensus.node_state import NodeState
+from spindle_decisions.consensus.raft_event_kind import RaftEventKind
+from spindle_decisions.exceptions import MembershipChangeError
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Repair:
+    """Asks to be taken in, and as leader replaces lost folders and promotes learners.
+
+    `requests` remembers the folder of each instance that asked, so that an operator
+    can add it by name.
+    """
+
+    def __init__(self, state: NodeState, changes: MembershipChanges) -> None:
+        self.state = state
+        self.changes = changes
+        self.requests: dict[str, str] = {}
+        self.refusals: dict[str, str] = {}
+        self.next_request_at = state.now
+
+    def tick(self) -> None:
+        """Ask all known instances for admission while this folder is no member."""
+        state = self.state
+        if state.now < self.next_request_at:
+            return
+        if state.me is not None and not state.removed:
+            return
+        self.next_request_at = state.now + state.settings.election_max_s
+        for name in self.known_names():
+            request = JoinRequest(state.name, state.folder_id, name, state.term)
+            state.outbox.send(request)
+
+    def known_names(self) -> list[str]:
+        """Return the names of all other instances that may lead."""
+        names = set(self.state.settings.peers)
+        names.update(member.name for member in self.state.membership.members)
+        names.discard(self.state.name)
+        return sorted(names)
+
+    def on_join_request(self, lead: Leadership, message: JoinRequest) -> None:
+        """Replace a lost folder of a member by the folder that asks."""
+        if message.sender in self.requests or len(self.requests) < MAX_JOIN_REQUESTS:
+            self.requests[message.sender] = message.sender_folder
+        member = self.state.membership.find(message.sender)
+        if member is None:
+            self.refuse(message.sender, "not a member; an operator may add it")
+            return
+        if member.folder_id == message.sender_folder or not self.changes.is_idle(lead):
+            return
+        self.replace(lead, message)
+
+    def replace(self, lead: Leadership, message: JoinRequest) -> None:
+        """Take the folder in as a learner unless the change is refused."""
+        change = MembershipChange(
+            MembershipChangeKind.REPLACE,
+            message.sender,
+            message.sender_folder,
+            f"{message.sender} came back with another data folder",
+        )
+        try:
+            self.changes.propose(lead, change)
+        except MembershipChangeError as err:
+            self.refuse(message.sender, str(err))
+            return
+        self.refusals.pop(message.sender, None)
+        self.state.record(RaftEventKind.REPAIR_STEP, change.reason, message.sender)
+
+    def refuse(self, name: str, reason: str) -> None:
+        """Put a refusal on the time line once, not at every request."""
+        if self.refusals.get(name) == reason:
+            return
+        if len(self.refusals) >= MAX_JOIN_REQUESTS:
+            self.refusals.clear()
+        self.refusals[name] = reason
+        _LOGGER.warning("raft: refused to take in %s, %s", name, reason)
+        self.state.record(RaftEventKind.REFUSED, reason, name)
+
+    def promote_ready(self, lead: Leadership) -> None:
+        """Make a learner that holds the whole log a voter."""
+        if not self.changes.is_idle(lead):
+            return
+        for member in self.state.membership.members:
+            if member.voter or not self.changes.holds_everything(lead, member):
+                continue
+            self.promote(lead, member)
+            return
+
+    def promote(self, lead: Leadership, member: Member) -> None:
+        """Propose the promotion of a learner."""
+        reason = f"{member.name} holds the whole log"
+        change = MembershipChange(MembershipChangeKind.PROMOTE, member.name, reason=reason)
+        try:
+            self.changes.propose(lead, change)
+        except MembershipChangeError as err:
+            self.refuse(member.name, str(err))
+            return
+        self.state.record(RaftEventKind.REPAIR_STEP, reason, member.name)
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/replication.py
@@ -0,0 +1,270 @@
+"""Replication by the leader: entries, heartbeats, snapshots, commit."""
+
+from spindle_decisions.consensus.contact_round import ContactRound
+from spindle_decisions.consensus.leadership import Leadership
+from spindle_decisions.consensus.log_entry import LogEntry
+from spindle_decisions.consensus.messages import (
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    InstallSnapshotReply,
+)
+from spindle_decisions.consensus.node_state import NodeState
+from spindle_decisions.consensus.progress import Progress
+from spindle_decisions.consensus.progress_mode import ProgressMode
+
+
+class Replication:
+    """Feeds the members and commits what a majority holds on disk."""
+
+    def __init__(self, state: NodeState) -> None:
+        self.state = state
+
+    def start(self, first_index: int, granted: set[str], campaign_started_at: float) -> None:
+        """Begin to lead; the voters that granted were heard since the campaign started."""
+        state = self.state
+        lead = Leadership(first_index)
+        lead.rounds.append(ContactRound(0, campaign_started_at))
+        state.leadership = lead
+        self.follow_membership(lead, first_index)
+        for name, progress in lead.progress.items():
+            if name in granted:
+                progress.contact_at = campaign_started_at
+        self.heartbeat(lead)
+
+    def follow_membership(self, lead: Leadership, next_index: int) -> None:
+        """Keep progress for exactly the members in force; try new ones from `next_index`."""
+        state = self.state
+        kept: dict[str, Progress] = {}
+        for member in state.membership.members:
+            if member.name == state.name:
+                continue
+            known = lead.progress.get(member.name)
+            if known is None or known.folder_id != member.folder_id:
+                known = Progress(member.folder_id, next_index)
+            kept[member.name] = known
+        lead.progress = kept
+
+    def tick(self, lead: Leadership) -> None:
+        """Send heartbeats when they are due."""
+        if self.state.now >= lead.next_heartbeat_at:
+            self.heartbeat(lead)
+
+    def heartbeat(self, lead: Leadership) -> None:
+        """Start a contact round with every member."""
+        state = self.state
+        lead.next_heartbeat_at = state.now + state.settings.heartbeat_s
+        self.start_round(lead)
+        for name, progress in lead.progress.items():
+            progress.paused = False
+            self.contact(lead, name, progress)
+
+    def start_round(self, lead: Leadership) -> None:
+        """Open the next contact round and forget the rounds that prove nothing any more."""
+        state = self.state
+        oldest = state.now - 2 * state.settings.election_max_s
+        while lead.rounds and lead.rounds[0].started_at < oldest and len(lead.rounds) > 1:
+            lead.rounds.popleft()
+        lead.rounds.append(ContactRound(lead.latest_round + 1, state.now))
+
+    def contact(self, lead: Leadership, name: str, progress: Progress) -> None:
+        """Send something that the member answers, with entries where they help."""
+        if progress.mode is ProgressMode.SNAPSHOT:
+            self.contact_during_snapshot(lead, name, progress)
+            return
+        if not self.send_more(lead, name, progress):
+            self.send_append(lead, name, progress, with_entries=False)
+
+    def contact_during_snapshot(self, lead: Leadership, name: str, progress: Progress) -> None:
+        """Send an empty heartbeat, and the snapshot again if it seems lost."""
+        state = self.state
+        if state.now - progress.snapshot_sent_at > state.settings.lease_s:
+            self.send_snapshot(lead, name, progress)
+            return
+        heartbeat = Append(
+            state.name,
+            state.folder_id,
+            name,
+            state.term,
+            prev_index=0,
+            prev_term=0,
+            commit_index=0,
+            contact_round=lead.latest_round,
+            quorum_age_s=self.quorum_age(lead, state.now),
+        )
+        state.outbox.send(heartbeat)
+
+    def flush(self, lead: Leadership) -> None:
+        """Send the members the entries that they lack, within the window of each."""
+        for name, progress in lead.progress.items():
+            while self.send_more(lead, name, progress):
+                pass
+
+    def send_more(self, lead: Leadership, name: str, progress: Progress) -> bool:
+        """Send one message of entries, or a snapshot; return whether any was sent."""
+        state = self.state
+        if progress.mode is ProgressMode.SNAPSHOT or progress.paused:
+            return False
+        if progress.next_index > state.log.last_index:
+            return False
+        if progress.next_index <= state.log.base_index:
+            return self.send_snapshot(lead, name, progress)
+        in_flight = progress.next_index - 1 - progress.match_index
+        if progress.mode is ProgressMode.PROBE:
+            progress.paused = True
+        elif in_flight >= state.settings.max_inflight_entries:
+            return False
+        self.send_append(lead, name, progress, with_entries=True)
+        return True
+
+    def send_append(
+        self, lead: Leadership, name: str, progress: Progress, with_entries: bool
+    ) -> None:
+        """Send entries from the next index on, or none."""
+        state = self.state
+        prev_index = progress.next_index - 1
+        prev_term = state.log.term_at(prev_index)
+        if prev_term is None:
+            self.send_snapshot(lead, name, progress)
+            return
+        entries: tuple[LogEntry, ...] = ()
+        if with_entries:
+            entries = state.log.chunk(progress.next_index, state.settings.max_append_bytes)
+        if progress.mode is ProgressMode.STREAM:
+            progress.next_index += len(entries)
+        message = Append(
+            state.name,
+            state.folder_id,
+            name,
+            state.term,
+            prev_index,
+            prev_term,
+            state.commit_index,
+            lead.latest_round,
+            self.quorum_age(lead, state.now),
+            entries,
+        )
+        state.outbox.send(message)
+
+    def send_snapshot(self, lead: Leadership, name: str, progress: Progress) -> bool:
+        """Send the newest snapshot and wait for it to arrive."""
+        state = self.state
+        snapshot = state.log.snapshot
+        if snapshot is None:
+            return False
+        progress.mode = ProgressMode.SNAPSHOT
+        progress.snapshot_sent_at = state.now
+        message = InstallSnapshot(
+            state.name,
+            state.folder_id,
+            name,
+            state.term,
+            snapshot,
+            lead.latest_round,
+            self.quorum_age(lead, state.now),
+        )
+        state.outbox.send(message)
+        return True
+
+    def on_append_reply(self, lead: Leadership, message: AppendReply) -> None:
+        """Take in what a member holds."""
+        progress = self.heard(lead, message)
+        if progress is None:
+            return
+        if not message.success:
+            self.step_back(progress, message)
+            return
+        self.matched(progress, message.match_index)
+        self.advance_commit(lead)
+
+    def on_snapshot_reply(self, lead: Leadership, message: InstallSnapshotReply) -> None:
+        """Take in that a snapshot is on the disk of a member."""
+        progress = self.heard(lead, message)
+        if progress is None:
+            return
+        if progress.mode is ProgressMode.SNAPSHOT:
+            progress.mode = ProgressMode.PROBE
+        self.matched(progress, message.match_index)
+        self.advance_commit(lead)
+
+    def heard(
+        self, lead: Leadership, message: AppendReply | InstallSnapshotReply
+    ) -> Progress | None:
+        """Note the contact with a member; `None` if the sender is not that member."""
+        progress = lead.progress.get(message.sender)
+        if progress is None or progress.folder_id != message.sender_folder:
+            return None
+        progress.acked_round = max(progress.acked_round, message.contact_round)
+        started_at = lead.round_started_at(message.contact_round)
+        if started_at is not None:
+            progress.contact_at = max(progress.contact_at, started_at)
+        return progress
+
+    def matched(self, progress: Progress, match_index: int) -> None:
+        """Raise the match index and stream from there."""
+        if match_index > self.state.log.last_index:
+            return
+        progress.match_index = max(progress.match_index, match_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+        if progress.mode is ProgressMode.SNAPSHOT and match_index < self.state.log.base_index:
+            return
+        if progress.mode is not ProgressMode.STREAM and match_index + 1 >= progress.next_index:
+            progress.mode = ProgressMode.STREAM
+        progress.paused = False
+
+    def step_back(self, progress: Progress, message: AppendReply) -> None:
+        """Search further back, as far as the hint of the member allows."""
+        state = self.state
+        if progress.mode is ProgressMode.SNAPSHOT:
+            return
+        if message.rejected_index <= progress.match_index:
+            return
+        if progress.mode is ProgressMode.PROBE and message.rejected_index != (
+            progress.next_index - 1
+        ):
+            return
+        common = state.log.newest_not_after(message.hint_index, message.hint_term)
+        if message.hint_index < state.log.base_index:
+            common = message.hint_index
+        progress.mode = ProgressMode.PROBE
+        progress.next_index = max(progress.match_index, min(common, message.rejected_index - 1)) + 1
+        progress.paused = False
+
+    def advance_commit(self, lead: Leadership) -> None:
+        """Commit the newest entry of the own term that a majority holds on disk."""
+        state = self.state
+        matches = sorted((self.match_of(lead, name) for name in self.voter_names()), reverse=True)
+        index = matches[state.quorum - 1]
+        if index > state.commit_index and state.log.term_at(index) == state.term:
+            state.commit_index = index
+
+    def voter_names(self) -> list[str]:
+        """Return the names of the voters in force."""
+        return [member.name for member in self.state.membership.voters()]
+
+    def match_of(self, lead: Leadership, name: str) -> int:
+        """Return up to where a voter holds the log on disk."""
+        if name == self.state.name:
+            return self.state.outbox.persisted_index
+        return lead.progress[name].match_index
+
+    def quorum_contact(self, lead: Leadership, now: float) -> float:
+        """Return when a majority was last known to follow."""
+        contacts = sorted(
+            (
+                now if name == self.state.name else lead.progress[name].contact_at
+                for name in self.voter_names()
+            ),
+            reverse=True,
+        )
+        return contacts[self.state.quorum - 1]
+
+    def quorum_age(self, lead: Leadership, now: float) -> float:
+        """Return the seconds since a majority was last known to follow."""
+        return max(0.0, now - self.quorum_contact(lead, now))
+
+    def round_confirmed(self, lead: Leadership, number: int) -> bool:
+        """Return whether a majority answered a contact round."""
+        acked = {name for name, progress in lead.progress.items() if progress.acked_round >= number}
+        acked.add(self.state.name)
+        return self.state.counts(acked)
