--- a/packages/daemon/src/spindle_daemon/components/account/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/account/__init__.py
@@ -1,18 +1,37 @@
-"""The account of an entry instance: it counts requests and reports every minute."""
+"""The account: entry instances count and report, control instances keep the minutes."""
 
+from spindle_daemon.components.account.const import PATH_SUMMARIES
 from spindle_daemon.components.account.coordinator import AccountCoordinator
+from spindle_daemon.components.account.summary_sink import SummarySink
+from spindle_daemon.components.account.summary_store import SummaryStore
+from spindle_daemon.components.admin.admin_app import AdminApp
 from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.json_response import json_ok
 from spindle_decisions.wire.summary_ack import SummaryAck
+from spindle_decisions.wire.summary_report import SummaryReport
 
 
 def setup(spindle: Spindle) -> None:
-    """Count the requests of this instance and report them to the control instances.
+    """Count the requests of this entry instance and report them to control.
 
-    The stop hook hands over everything that is still held; set the account up
-    after serving has registered its hook, so that it runs after serving ended.
+    The stop hook hands over everything that is still held. Hooks run in reverse
+    order, so the account is set up before serving and stops after it.
     """
     account = AccountCoordinator(spindle)
     spindle.account = account
     spindle.transport.handle(SummaryAck, account.on_ack)
     spindle.on_stop(account.stop)
     account.start()
+
+
+def setup_control(spindle: Spindle, app: AdminApp, sink: SummarySink) -> SummaryStore:
+    """Keep the summaries of the entry instances and answer `GET /v1/summaries`.
+
+    Each summary is confirmed once `sink` has it on disk.
+    """
+    store = SummaryStore(spindle, sink)
+    spindle.transport.handle(SummaryReport, store.on_report)
+    app.route("GET", PATH_SUMMARIES, lambda request: json_ok(store.reply(request.query)))
+    spindle.on_stop(store.stop)
+    store.start()
+    return store
--- a/packages/daemon/src/spindle_daemon/components/timeline/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/timeline/__init__.py
@@ -1,7 +1,10 @@
 """The time line of this process."""
 
+from spindle_daemon.components.admin.admin_app import AdminApp
+from spindle_daemon.components.admin.const import PATH_TIMELINE
 from spindle_daemon.components.timeline.ring import TimelineRing
 from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.json_response import json_ok
 from spindle_decisions.timeline.event_kind import EventKind
 from spindle_decisions.timeline.hybrid_clock import HybridClock
 
@@ -16,3 +19,10 @@
     spindle.timeline = ring
     ring.add(EventKind.PROCESS_STARTED, f"incarnation {spindle.incarnation}")
     return ring
+
+
+def register(spindle: Spindle, app: AdminApp) -> None:
+    """Answer `GET /v1/timeline` on the admin endpoint, once the time line is set up."""
+    ring = spindle.timeline
+    assert isinstance(ring, TimelineRing)
+    app.route("GET", PATH_TIMELINE, lambda request: json_ok(ring.query(request.query)))
--- a/packages/decisions/src/spindle_decisions/exceptions.py
+++ b/packages/decisions/src/spindle_decisions/exceptions.py
@@ -171,3 +171,28 @@
 
     code = "auth-failed"
     http_status = 401
+
+
+class UnreachableError(ControlError):
+    """No process could be reached; the request was certainly not received."""
+
+    code = "unreachable"
+
+
+class AnswerLostError(ControlError):
+    """A request was sent and its answer was lost; it may have taken effect."""
+
+    code = "answer-lost"
+
+
+class RemoteError(SpindleError):
+    """Another process answered with an error; `code` and `http_status` are those it gave.
+
+    `winner_digest` names the note that holds the number, when that is the error.
+    """
+
+    def __init__(self, code: str, text: str, http_status: int, winner_digest: str = "") -> None:
+        super().__init__(text)
+        self.code = code
+        self.http_status = http_status
+        self.winner_digest = winner_digest
