--- a/packages/daemon/src/spindle_daemon/components/control/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/control/__init__.py
@@ -1,8 +1,6 @@
 """A control instance: agreement, storage, catalog feed, membership and operators."""
 
 import gevent
-from spindle_decisions.consensus.raft_node import RaftNode, create_raft_node
-from spindle_decisions.consensus.settings import RaftSettings
 from spindle_decisions.state.replicated_state import create_replicated_state
 
 from spindle_daemon.components.admin.admin_app import AdminApp
@@ -18,8 +16,9 @@
 from spindle_daemon.storage.data_folder import DataFolder, open_data_folder
 from spindle_decisions.commands.command import Result
 from spindle_decisions.commands.note_applied import NoteApplied
-from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.consensus.raft_node import RaftNode, create_raft_node
 from spindle_decisions.consensus.restored_state import RestoredState
+from spindle_decisions.consensus.settings import RaftSettings
 from spindle_decisions.timeline.event_kind import EventKind
 from spindle_decisions.wire.fetch_config import FetchConfig
 from spindle_decisions.wire.raft_packet import RaftPacket
@@ -57,7 +56,6 @@
     def on_slow(seconds: float) -> None:
         spindle.timeline.add(EventKind.SYNC_SLOW, f"{seconds * MS_PER_S:.0f} ms")
 
-    membership = restored.snapshot.membership if restored.snapshot else MembershipSet()
     driver = RaftDriver(
         node=_create_node(spindle, control, restored),
         state=create_replicated_state(),
@@ -66,7 +64,6 @@
         timeline=spindle.timeline,
         send=send,
         snapshot_every=control.snapshot_every,
-        membership=membership,
     )
     if restored.snapshot is not None:
         driver.restore_snapshot(restored.snapshot)
--- a/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
+++ b/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
@@ -8,8 +8,6 @@
 import gevent
 import msgspec
 from gevent.queue import Queue
-from spindle_decisions.consensus.messages import RaftMessage
-from spindle_decisions.consensus.raft_node import RaftNode
 from spindle_decisions.state.replicated_state import ReplicatedState
 
 from spindle_daemon.components.control.const import TICK_S
@@ -20,10 +18,12 @@
 from spindle_decisions.commands.command import Result, decode_command
 from spindle_decisions.consensus.entry_kind import EntryKind
 from spindle_decisions.consensus.log_entry import LogEntry
-from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.consensus.messages import RaftMessage
 from spindle_decisions.consensus.persist_batch import PersistBatch
+from spindle_decisions.consensus.raft_node import RaftNode
 from spindle_decisions.consensus.snapshot import Snapshot
 from spindle_decisions.exceptions import StorageError
+from spindle_decisions.timeline.event_kind import EventKind
 from spindle_decisions.wire.raft_packet import RaftPacket
 
 _LOGGER = logging.getLogger(__name__)
@@ -49,7 +49,6 @@
         timeline: TimelineSink,
         send: SendPacket,
         snapshot_every: int,
-        membership: MembershipSet,
     ) -> None:
         self.node = node
         self.state = state
@@ -58,7 +57,6 @@
         self.timeline = timeline
         self.send = send
         self.snapshot_every = snapshot_every
-        self.applied_membership = membership
         self.applied_index = 0
         self.applied_term = 0
         self.snapshot_index = 0
@@ -98,7 +96,7 @@
             self._apply(entry)
         for event in ready.events:
             _LOGGER.info("raft: %s: %s", event.kind, event.reason)
-            self.timeline.add(event.kind, event.reason, peer=event.peer)
+            self.timeline.add(EventKind(event.kind.value), event.reason, peer=event.peer)
         self._maybe_snapshot()
 
     def restore_snapshot(self, snapshot: Snapshot) -> None:
@@ -126,8 +124,6 @@
         result = None
         if entry.kind is EntryKind.COMMAND:
             result = self.state.apply(entry.index, decode_command(entry.data))
-        elif entry.kind is EntryKind.MEMBERSHIP:
-            self.applied_membership = msgspec.msgpack.decode(entry.data, type=MembershipSet)
         self.applied_index = entry.index
         self.applied_term = entry.term
         self.book.applied(entry.index, entry.term, result)
@@ -138,7 +134,6 @@
     def _restore(self, snapshot: Snapshot) -> None:
         if snapshot.data:
             self.state.restore(snapshot.data)
-        self.applied_membership = snapshot.membership
         self.applied_index = snapshot.index
         self.applied_term = snapshot.term
         self.snapshot_index = snapshot.index
@@ -153,7 +148,7 @@
         snapshot = Snapshot(
             self.applied_index,
             self.applied_term,
-            self.applied_membership,
+            self.node.membership_at(self.applied_index),
             self.state.encode_snapshot(),
         )
         gevent.spawn(self._save, snapshot)
