--- /dev/null
+++ b/bench/load/answer_row.py
@@ -0,0 +1,12 @@
+"""One row of an answer to a caller."""
+
+import msgspec
+
+
+class AnswerRow(msgspec.Struct, frozen=True):
+    """A record with its snapshot and the query that it answers."""
+
+    service: str
+    snapshot: str
+    key: str
+    echo: dict[str, str]
--- /dev/null
+++ b/bench/load/arrivals.py
@@ -0,0 +1,12 @@
+"""Times of arrival."""
+
+import random
+from collections.abc import Iterator
+
+
+def poisson_arrivals(rng: random.Random, rate_per_s: float, duration_s: float) -> Iterator[float]:
+    """Yield the arrivals of a Poisson process in seconds after its start."""
+    at_s = rng.expovariate(rate_per_s)
+    while at_s < duration_s:
+        yield at_s
+        at_s += rng.expovariate(rate_per_s)
--- /dev/null
+++ b/bench/load/generator.py
@@ -0,0 +1,53 @@
+"""Offers load in an open loop."""
+
+import random
+import time
+
+import gevent
+
+from bench.load import const
+from bench.load.answer_check import AnswerCheck, ServicesByEpoch
+from bench.load.arrivals import poisson_arrivals
+from bench.load.caller import Caller
+from bench.load.load_run import LoadRun
+from bench.load.load_settings import LoadSettings
+from bench.load.query_record import QueryRecord
+
+
+class Generator:
+    """Sends each query at its time, whatever became of the earlier ones."""
+
+    def __init__(self, settings: LoadSettings, services: ServicesByEpoch) -> None:
+        check = AnswerCheck(services)
+        self.settings = settings
+        self.callers = [Caller(settings, n, check) for n in range(len(settings.entries))]
+        self.send_lag_max_s = 0.0
+        self.started = 0.0
+
+    def run(self) -> LoadRun:
+        """Offer the whole load and return when the last query ended."""
+        settings = self.settings
+        rng = random.Random(settings.seed)
+        self.started = time.monotonic() + const.START_DELAY_S
+        asked: list[gevent.Greenlet] = []
+        for number, at_s in enumerate(
+            poisson_arrivals(rng, settings.rate_per_s, settings.duration_s)
+        ):
+            gevent.sleep(max(0.0, self.started + at_s - time.monotonic()))
+            asked.append(gevent.spawn(self._ask, number, at_s))
+        gevent.joinall(asked, raise_error=True)
+        records = [greenlet.value for greenlet in asked]
+        for caller in self.callers:
+            caller.close()
+        return LoadRun(records, self.send_lag_max_s * const.MS_PER_S, self.started)
+
+    def _ask(self, number: int, at_s: float) -> QueryRecord:
+        intended = self.started + at_s
+        self.send_lag_max_s = max(self.send_lag_max_s, time.monotonic() - intended)
+        caller = self.callers[number % len(self.callers)]
+        return caller.ask(f"{self.settings.prefix}-{number}", at_s, intended)
+
+
+def offer_load(settings: LoadSettings, services: ServicesByEpoch | None = None) -> LoadRun:
+    """Offer load and return every query's record."""
+    return Generator(settings, services or {}).run()
