--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/entry_http/application.py
@@ -0,0 +1,138 @@
+"""The protocol for callers over HTTP."""
+
+import dataclasses
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from spindle_daemon.components.entry_http import const, headers
+from spindle_daemon.components.entry_http.query_request import QueryRequest
+from spindle_daemon.components.entry_http.route import Route, parse_route
+from spindle_daemon.components.entry_http.run_request import RunRequest
+from spindle_daemon.components.entry_http.socket_caller import SocketCaller
+from spindle_daemon.components.serving.coordinator import ServingCoordinator
+from spindle_daemon.components.serving.query_call import QueryCall
+from spindle_daemon.components.serving.request_log import RequestLog
+from spindle_daemon.components.serving.run_call import RunCall
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.http_limits_handler import ENVIRON_HANDLER, LimitsHandler
+from spindle_daemon.helpers.json_response import JsonResponse, json_error, json_ok
+from spindle_decisions.account.query_outcome import QueryOutcome
+from spindle_decisions.exceptions import (
+    BadRequestError,
+    LeavingError,
+    OutcomeUnknownError,
+    SpindleError,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+StartResponse = Callable[..., Any]
+CLOSE = ("Connection", "close")
+STATUS_CLOSED = 499
+
+_QUERY_DECODER = msgspec.json.Decoder(QueryRequest)
+_RUN_DECODER = msgspec.json.Decoder(RunRequest)
+
+
+class Application:
+    """The WSGI application of the entry.
+
+    `refusing` is set late in a planned stop: requests that still arrive get
+    the code `leaving` and their connection is closed.
+    """
+
+    def __init__(self, spindle: Spindle, coordinator: ServingCoordinator) -> None:
+        self.spindle = spindle
+        self.coordinator = coordinator
+        self.refusing = False
+
+    def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        path = str(environ["PATH_INFO"])
+        if path == const.PATH_LIVE:
+            return json_ok({"live": True}).send(start)
+        if path == const.PATH_READY:
+            return self._ready().send(start)
+        handler: LimitsHandler = environ[ENVIRON_HANDLER]
+        response = self._serve(path, environ, handler)
+        if response is None:
+            handler.close_connection = True
+            start(f"{STATUS_CLOSED} Client Closed Request", [("Content-Length", "0")])
+            return []
+        if self.spindle.leaving:
+            response = dataclasses.replace(response, headers=(*response.headers, CLOSE))
+        return response.send(start)
+
+    def _ready(self) -> JsonResponse:
+        ready = self.spindle.ready and self.coordinator.primed and not self.spindle.leaving
+        answer = json_ok({"ready": ready})
+        return answer if ready else JsonResponse(503, answer.body)
+
+    def _serve(
+        self, path: str, environ: dict[str, Any], handler: LimitsHandler
+    ) -> JsonResponse | None:
+        group = path.removeprefix(const.PREFIX_GROUPS).partition("/")[0]
+        log = self.coordinator.begin(group)
+        try:
+            return self._dispatch(path, environ, handler, log)
+        except OutcomeUnknownError as err:
+            log.finished(QueryOutcome.OUTCOME_UNKNOWN, err.code)
+            return json_error(err, log.request_id)
+        except SpindleError as err:
+            log.finished(QueryOutcome.REFUSED, err.code)
+            return json_error(err, log.request_id)
+        except Exception:
+            _LOGGER.exception("entry: request %s failed", log.request_id)
+            log.finished(QueryOutcome.REFUSED, SpindleError.code)
+            return json_error(SpindleError("internal error"), log.request_id)
+
+    def _dispatch(
+        self, path: str, environ: dict[str, Any], handler: LimitsHandler, log: RequestLog
+    ) -> JsonResponse | None:
+        if self.refusing:
+            handler.drop_body()
+            raise LeavingError("this instance is stopping")
+        try:
+            route = parse_route(path)
+            if environ["REQUEST_METHOD"] != const.METHOD_POST:
+                raise BadRequestError("only POST is answered here")
+        except BadRequestError:
+            handler.drop_body()
+            raise
+        body = handler.read_body()
+        if route.word == const.WORD_QUERY:
+            call = _query_call(route, body, environ)
+            answer = self.coordinator.query(call, log, SocketCaller(handler.socket))
+            return None if answer is None else json_ok(answer)
+        return json_ok(self.coordinator.run(_run_call(route, body, environ), log))
+
+
+def _query_call(route: Route, body: bytes, environ: dict[str, Any]) -> QueryCall:
+    try:
+        request = _QUERY_DECODER.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as err:
+        raise BadRequestError(f"body: {err}") from err
+    return QueryCall(
+        group=route.group,
+        query=request.query,
+        only=route.service,
+        deadline_ms=headers.deadline_ms(environ),
+        min_coverage=headers.min_coverage(environ),
+    )
+
+
+def _run_call(route: Route, body: bytes, environ: dict[str, Any]) -> RunCall:
+    try:
+        request = _RUN_DECODER.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as err:
+        raise BadRequestError(f"body: {err}") from err
+    return RunCall(
+        group=route.group,
+        request_id=headers.idempotency_key(environ),
+        key=request.key,
+        body=request.body,
+        deadline_ms=headers.deadline_ms(environ),
+    )
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/entry_http/headers.py
@@ -0,0 +1,55 @@
+"""Headers of a caller's request."""
+
+import math
+import uuid
+from collections.abc import Mapping
+
+from spindle_daemon.components.entry_http import const
+from spindle_decisions.exceptions import BadRequestError
+from spindle_decisions.wire.headers import (
+    HEADER_DEADLINE_MS,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_MIN_COVERAGE,
+)
+
+ID_VERSION = 7
+
+
+def environ_key(header: str) -> str:
+    """Return the WSGI environment key of a header."""
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+def deadline_ms(environ: Mapping[str, object]) -> float | None:
+    """Return the caller's deadline in milliseconds, if given."""
+    return _number(environ, HEADER_DEADLINE_MS, 1.0, const.MAX_DEADLINE_MS)
+
+
+def min_coverage(environ: Mapping[str, object]) -> float | None:
+    """Return the least coverage that the caller accepts, if given."""
+    return _number(environ, HEADER_MIN_COVERAGE, 0.0, 1.0)
+
+
+def idempotency_key(environ: Mapping[str, object]) -> str:
+    """Return the caller's request id, a UUID of version 7 in its usual form."""
+    text = str(environ.get(environ_key(HEADER_IDEMPOTENCY_KEY), ""))
+    try:
+        value = uuid.UUID(text)
+    except ValueError:
+        raise BadRequestError(f"{HEADER_IDEMPOTENCY_KEY} must be a UUID version 7") from None
+    if value.version != ID_VERSION or str(value) != text.lower():
+        raise BadRequestError(f"{HEADER_IDEMPOTENCY_KEY} must be a UUID version 7")
+    return str(value)
+
+
+def _number(environ: Mapping[str, object], header: str, least: float, most: float) -> float | None:
+    text = environ.get(environ_key(header))
+    if text is None:
+        return None
+    try:
+        value = float(str(text))
+    except ValueError:
+        value = math.nan
+    if not least <= value <= most:
+        raise BadRequestError(f"{header} must be a number from {least:g} to {most:g}")
+    return value
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/entry_http/socket_caller.py
@@ -0,0 +1,48 @@
+"""A caller behind a socket."""
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+_EVENT_READ = 1
+
+
+class SocketCaller:
+    """Watches the caller's socket for its end while a request is worked on.
+
+    Bytes of a next request, sent early, end the watch: the caller is there.
+    """
+
+    def __init__(self, sock: Any) -> None:
+        self.sock = sock
+        self.watcher: Any = None
+        self.on_gone: Callable[[], None] | None = None
+
+    def watch(self, on_gone: Callable[[], None]) -> None:
+        """Call `on_gone` once when the caller closes its connection."""
+        self.on_gone = on_gone
+        self.watcher = gevent.get_hub().loop.io(self.sock.fileno(), _EVENT_READ)
+        self.watcher.start(self._readable)
+
+    def unwatch(self) -> None:
+        """Stop watching."""
+        if self.watcher is not None:
+            self.watcher.stop()
+            self.watcher.close()
+            self.watcher = None
+
+    def _readable(self) -> None:
+        self.watcher.stop()
+        if _closed(self.sock) and self.on_gone is not None:
+            self.on_gone()
+
+
+def _closed(sock: Any) -> bool:
+    try:
+        return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"")
+    except BlockingIOError:
+        return False
+    except (OSError, ValueError):
+        return True
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/serving/__init__.py
@@ -0,0 +1,43 @@
+"""The serving path: queries and requests from callers to upstreams."""
+
+import gevent
+from prometheus_client import REGISTRY, CollectorRegistry
+
+from spindle_daemon.components.serving.coordinator import ServingCoordinator
+from spindle_daemon.components.serving.metrics import create_metrics
+from spindle_daemon.core.catalog_taken import CatalogTaken
+from spindle_daemon.core.live_changed import LiveChanged
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.settings.const import POLICY_NAIVE
+from spindle_decisions.serving.connection_shares import ConnectionShares
+from spindle_decisions.serving.naive_policy import NaivePolicy
+from spindle_decisions.serving.serving_policy import ServingPolicy
+from spindle_decisions.serving.tier_policy import TierPolicy, TierSwitches
+from spindle_decisions.serving.upstream_board import UpstreamBoard
+
+
+def setup(spindle: Spindle, registry: CollectorRegistry = REGISTRY) -> ServingCoordinator:
+    """Set up serving: follow the catalog and the live instances, begin to probe."""
+    instance = spindle.settings.instance
+    shares = ConnectionShares(instance.name, spindle.clock.now())
+    board = UpstreamBoard(_create_policy(spindle), shares, spindle.rng)
+    coordinator = ServingCoordinator(spindle, board, create_metrics(registry))
+    spindle.bus.listen(CatalogTaken, coordinator.take_catalog)
+    spindle.bus.listen(LiveChanged, coordinator.take_live)
+    coordinator.take_catalog(CatalogTaken(spindle.catalog.index))
+    gevent.spawn(coordinator.keep_shares)
+    return coordinator
+
+
+def _create_policy(spindle: Spindle) -> ServingPolicy:
+    serving = spindle.settings.serving
+    if serving.policy == POLICY_NAIVE:
+        return NaivePolicy()
+    switches = TierSwitches(
+        hedging=serving.hedging,
+        retries=serving.retries,
+        limits=serving.limits,
+        ejection=serving.ejection,
+        shares=serving.shares,
+    )
+    return TierPolicy(spindle.settings.instance.data_center, switches)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/serving/claims.py
@@ -0,0 +1,130 @@
+"""At-most-once claims through the replicated log."""
+
+import logging
+from collections import OrderedDict
+
+import gevent
+
+from spindle_daemon.components.serving import const
+from spindle_daemon.core.spindle import Spindle
+from spindle_decisions.commands.claim_granted import ClaimGranted
+from spindle_decisions.commands.claim_held import ClaimHeld
+from spindle_decisions.commands.claim_refused import ClaimRefused
+from spindle_decisions.commands.claim_run import ClaimRun
+from spindle_decisions.commands.command import Command, Result
+from spindle_decisions.commands.record_outcome import RecordOutcome
+from spindle_decisions.exceptions import (
+    BadRequestError,
+    ControlError,
+    IdExpiredError,
+    NotRunError,
+    OutcomeUnknownError,
+    RefusalError,
+)
+from spindle_decisions.timeline.event_kind import EventKind
+
+_LOGGER = logging.getLogger(__name__)
+
+ClaimAnswer = ClaimGranted | ClaimHeld
+
+
+class Claims:
+    """Claims the one run of a request, and records how it ended.
+
+    Ids that this instance has sent to an upstream are remembered: when such an
+    id comes again and no control instance answers, "not run" would be untrue.
+    """
+
+    def __init__(self, spindle: Spindle) -> None:
+        self.spindle = spindle
+        self.dispatched: OrderedDict[str, None] = OrderedDict()
+
+    def claim(self, claim: ClaimRun, timeout_s: float) -> ClaimAnswer:
+        """Have the claim agreed.
+
+        Raises `NotRunError` when it is in no log, `OutcomeUnknownError` when
+        that is not known, and what the claim was refused with. A claim that is
+        agreed after all without being used is released in the background.
+        """
+        try:
+            result = self._propose(claim, timeout_s)
+        except NotRunError:
+            if claim.request_id in self.dispatched:
+                raise OutcomeUnknownError("an earlier sending may have run") from None
+            raise
+        except OutcomeUnknownError:
+            gevent.spawn(self._release_unused, claim)
+            raise OutcomeUnknownError(
+                "the claim may be agreed late; this sending runs nothing, send the id again"
+            ) from None
+        if isinstance(result, ClaimRefused):
+            self._note(EventKind.CLAIM_REFUSED, result.text, claim.request_id)
+            raise _refusal(result)
+        if isinstance(result, ClaimHeld):
+            self._note(EventKind.CLAIM_REFUSED, f"held by {result.instance}", claim.request_id)
+            return result
+        if not isinstance(result, ClaimGranted) or result.attempt != claim.attempt:
+            raise OutcomeUnknownError("the claim got an unexpected result")
+        self._note(EventKind.CLAIM_GRANTED, claim.attempt, claim.request_id)
+        return result
+
+    def remember(self, request_id: str) -> None:
+        """Remember that bytes of this request may be with an upstream from now on."""
+        self.dispatched[request_id] = None
+        if len(self.dispatched) > const.REMEMBERED_IDS:
+            self.dispatched.popitem(last=False)
+
+    def record(self, outcome: RecordOutcome) -> None:
+        """Record an outcome in the background, until it is agreed or out of retention."""
+        if not outcome.ran:
+            self.dispatched.pop(outcome.request_id, None)
+        gevent.spawn(self._keep_proposing, outcome)
+
+    def _release_unused(self, claim: ClaimRun) -> None:
+        """Find out whether a claim was agreed, then give it back.
+
+        Proposing the same attempt again is recognised, so that the answer tells
+        the truth; only a claim known to be agreed is released.
+        """
+        result = self._keep_proposing(claim)
+        if isinstance(result, ClaimGranted) and result.attempt == claim.attempt:
+            self.record(
+                RecordOutcome(
+                    request_id=claim.request_id,
+                    attempt=claim.attempt,
+                    ran=False,
+                    status=0,
+                    body=b"",
+                    proposed_at_ms=self.spindle.clock.wall_ms(),
+                )
+            )
+
+    def _keep_proposing(self, command: Command) -> Result | None:
+        give_up_at = self.spindle.clock.now() + const.RECORD_FOR_S
+        pause_s = const.RECORD_PAUSE_S
+        while self.spindle.clock.now() < give_up_at:
+            try:
+                return self._propose(command, const.RECORD_TIMEOUT_S)
+            except (RefusalError, ControlError) as err:
+                _LOGGER.info("serving: proposal not agreed yet: %s", err)
+            gevent.sleep(pause_s)
+            pause_s = min(const.RECORD_LONGEST_PAUSE_S, 2 * pause_s)
+        _LOGGER.warning("serving: gave up proposing %s", type(command).__name__)
+        return None
+
+    def _propose(self, command: Command, timeout_s: float) -> Result | None:
+        reply = self.spindle.control.propose(command, timeout_s)
+        if not reply.code:
+            return reply.result
+        if reply.appended:
+            raise OutcomeUnknownError(f"{reply.code}: {reply.text}")
+        raise NotRunError(f"{reply.code}: {reply.text}")
+
+    def _note(self, kind: EventKind, reason: str, request_id: str) -> None:
+        self.spindle.timeline.add(kind, reason, request_id=request_id)
+
+
+def _refusal(refused: ClaimRefused) -> RefusalError:
+    if refused.code == IdExpiredError.code:
+        return IdExpiredError(refused.text)
+    return BadRequestError(refused.text)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
@@ -0,0 +1,266 @@
+"""The serving path of one entry instance."""
+
+import logging
+
+import gevent
+import msgspec
+
+from spindle_daemon.components.serving import const
+from spindle_daemon.components.serving.caller import Caller
+from spindle_daemon.components.serving.claims import Claims
+from spindle_daemon.components.serving.metrics import ServingMetrics
+from spindle_daemon.components.serving.prober import Prober
+from spindle_daemon.components.serving.query_answer import QueryAnswer
+from spindle_daemon.components.serving.query_call import QueryCall
+from spindle_daemon.components.serving.query_runner import QueryRunner
+from spindle_daemon.components.serving.request_log import RequestLog, create_request_log
+from spindle_daemon.components.serving.run_answer import RunAnswer
+from spindle_daemon.components.serving.run_call import RunCall
+from spindle_daemon.components.serving.run_runner import RunRunner
+from spindle_daemon.components.serving.timeline_notes import TimelineNotes
+from spindle_daemon.components.serving.upstream_channel import UpstreamChannel
+from spindle_daemon.components.serving.upstream_news import UpstreamNews
+from spindle_daemon.core.catalog_taken import CatalogTaken
+from spindle_daemon.core.live_changed import LiveChanged
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.settings.const import ROLE_ENTRY
+from spindle_decisions.account.query_outcome import QueryOutcome
+from spindle_decisions.catalog.group import Group, GroupKind
+from spindle_decisions.exceptions import (
+    BadRequestError,
+    CoverageBelowMinimumError,
+    DeadlineExceededError,
+    NotRunError,
+    OverloadedError,
+    RefusalError,
+    UnknownGroupError,
+)
+from spindle_decisions.serving.query_end import QueryEnd
+from spindle_decisions.serving.query_plan import QueryPlan
+from spindle_decisions.serving.query_result import QueryResult
+from spindle_decisions.serving.service_owner import service_owner
+from spindle_decisions.serving.upstream_board import UpstreamBoard
+from spindle_decisions.timeline.event_kind import EventKind
+
+_LOGGER = logging.getLogger(__name__)
+
+UNKNOWN_GROUP = "unknown"
+_ENCODER = msgspec.json.Encoder()
+
+
+class QueryBody(msgspec.Struct, frozen=True):
+    """The body of a sub-request."""
+
+    service: str
+    query: msgspec.Raw
+
+
+class BodyTable(dict[str, bytes]):
+    """Sub-request bodies by service, encoded when first needed."""
+
+    def __init__(self, query: msgspec.Raw) -> None:
+        super().__init__()
+        self.query = query
+
+    def __missing__(self, service: str) -> bytes:
+        body = self[service] = _ENCODER.encode(QueryBody(service, self.query))
+        return body
+
+
+class ServingCoordinator:
+    """Answers callers' requests from the upstreams of the catalog in force."""
+
+    def __init__(self, spindle: Spindle, board: UpstreamBoard, metrics: ServingMetrics) -> None:
+        self.spindle = spindle
+        self.board = board
+        self.metrics = metrics
+        self.channels: dict[str, UpstreamChannel] = {}
+        self.news = UpstreamNews(board, spindle.timeline)
+        self.prober = Prober(spindle, board, self.channels, self.news, metrics)
+        self.claims = Claims(spindle)
+        self.started_at = spindle.clock.now()
+        self.sequence = 0
+
+    @property
+    def primed(self) -> bool:
+        """Tell whether every upstream has been asked for its snapshots once."""
+        waited_s = self.spindle.clock.now() - self.started_at
+        return self.prober.asked_all() or waited_s > const.PRIMED_AFTER_S
+
+    def take_catalog(self, event: CatalogTaken) -> None:
+        """Use a newer catalog from now on."""
+        now = self.spindle.clock.now()
+        self.board.take_catalog(event.index, now)
+        self._follow_channels()
+        self.prober.follow()
+        for service in event.index.services:
+            self.board.grant_waiting(service, now)
+
+    def take_live(self, event: LiveChanged) -> None:
+        """Share connections with the entry instances that live."""
+        live = {
+            item.instance: (item.incarnation, item.leaving)
+            for item in event.live
+            if item.role == ROLE_ENTRY
+        }
+        self.board.shares.heard_of(live, self.spindle.clock.now())
+        self.refresh_shares()
+
+    def refresh_shares(self) -> None:
+        """Work out the connection shares again."""
+        for state in self.board.refresh_shares(self.spindle.clock.now()):
+            self.channels[state.name].shrink(state.share)
+            self.spindle.timeline.add(
+                EventKind.SHARE_CHANGED, f"{state.share} connections", upstream=state.name
+            )
+
+    def keep_shares(self) -> None:
+        """Refresh the shares for ever; they also change as time passes."""
+        while True:
+            gevent.sleep(const.SHARES_PERIOD_S)
+            self.refresh_shares()
+
+    def stop(self) -> None:
+        """Stop probing and close all connections; called when nothing is in flight."""
+        self.prober.stop()
+        for channel in self.channels.values():
+            channel.close()
+
+    def next_request_id(self) -> str:
+        """Return an id that no other request of any instance has."""
+        self.sequence += 1
+        name = self.spindle.settings.instance.name
+        return f"{name}.{self.spindle.incarnation:x}.{self.sequence:x}"
+
+    def begin(self, group: str) -> RequestLog:
+        """Count the arrival of a request, before anything can go wrong with it."""
+        found = self.board.index.groups.get(group)
+        return create_request_log(
+            self.spindle, self.metrics, self.next_request_id(), found or Group(UNKNOWN_GROUP)
+        )
+
+    def query(self, call: QueryCall, log: RequestLog, caller: Caller) -> QueryAnswer | None:
+        """Answer a query; raise a `RefusalError`; return `None` when the caller has gone."""
+        group = self._group(call)
+        deadline_ms = call.deadline_ms or group.deadline_ms
+        plan = QueryPlan(
+            group=group.name,
+            deadline=log.arrived_at + deadline_ms / const.MS_PER_S,
+            only=call.only,
+            pinned=self.spindle.settings.serving.snapshot_pinning,
+        )
+        runner = QueryRunner(
+            log.request_id,
+            plan,
+            BodyTable(call.query),
+            self.board,
+            self.channels,
+            self.news,
+            TimelineNotes(self.spindle.timeline, log.request_id),
+            self.spindle.clock,
+            self.metrics,
+        )
+        caller.watch(runner.caller_gone)
+        try:
+            result = runner.run()
+        finally:
+            caller.unwatch()
+        log.took(result)
+        return self._conclude(call, group, result, log)
+
+    def run(self, call: RunCall, log: RequestLog) -> RunAnswer:
+        """Run a non-idempotent request at most once; raise a `RefusalError`.
+
+        A caller that goes away does not stop it: the outcome is recorded.
+        """
+        group = self.board.index.groups.get(call.group)
+        if group is None:
+            raise UnknownGroupError(f"no group {call.group}")
+        deadline_ms = call.deadline_ms or group.deadline_ms
+        runner = RunRunner(
+            call,
+            self._owner(group, call.key),
+            log.request_id,
+            log.arrived_at + deadline_ms / const.MS_PER_S,
+            self.claims,
+            self.board,
+            self.channels,
+            self.news,
+            self.spindle,
+            self.metrics,
+        )
+        try:
+            answer = runner.run()
+        finally:
+            log.costs = runner.costs
+        log.finished(QueryOutcome.ANSWERED)
+        return answer
+
+    def _owner(self, group: Group, key: str) -> str:
+        """Return the owner of a key in the epoch that is served, else in the newest one."""
+        choice = self.board.choose_snapshot(group.name)
+        epoch = choice.snapshot.epoch if choice is not None and choice.whole else group.epoch
+        names = [service.name for service in self.board.index.services_of(group.name, epoch)]
+        if not names:
+            raise NotRunError(f"group {group.name} has no services in epoch {epoch}")
+        return service_owner(key, names)
+
+    def _group(self, call: QueryCall) -> Group:
+        group = self.board.index.groups.get(call.group)
+        if group is None:
+            raise UnknownGroupError(f"no group {call.group}")
+        if call.only:
+            service = self.board.index.services.get(call.only)
+            if service is None or service.group != call.group:
+                raise UnknownGroupError(f"no service {call.only} in group {call.group}")
+        elif group.kind is not GroupKind.QUERY:
+            raise BadRequestError(f"group {call.group} takes requests to one service only")
+        return group
+
+    def _conclude(
+        self, call: QueryCall, group: Group, result: QueryResult, log: RequestLog
+    ) -> QueryAnswer | None:
+        if result.end is QueryEnd.CALLER_GONE:
+            log.finished(QueryOutcome.CALLER_GONE)
+            return None
+        least = group.min_coverage if call.min_coverage is None else call.min_coverage
+        if not result.covered or result.coverage < least:
+            raise refusal_for(result, least)
+        whole = result.end is QueryEnd.COMPLETE
+        log.finished(QueryOutcome.ANSWERED if whole else QueryOutcome.PARTIAL)
+        rows: list[msgspec.Raw] = []
+        for part in result.rows:
+            rows.extend(part)  # type: ignore[arg-type]
+        return QueryAnswer(
+            request_id=log.request_id,
+            snapshot=str(result.snapshot),
+            services_total=len(result.covered) + len(result.missing),
+            covered=list(result.covered),
+            missing=list(result.missing),
+            rows=rows,
+            config_version=self.board.index.catalog.version,
+            config_age_s=round(self.spindle.catalog.age_s(), 3),
+        )
+
+    def _follow_channels(self) -> None:
+        for name in [name for name in self.channels if name not in self.board.states]:
+            self.channels.pop(name).close()
+        for name, state in self.board.states.items():
+            upstream = state.upstream
+            channel = self.channels.get(name)
+            if channel is None or (channel.host, channel.port) != (upstream.host, upstream.port):
+                if channel is not None:
+                    channel.close()
+                channel = self.channels[name] = UpstreamChannel(upstream.host, upstream.port)
+            channel.shrink(state.share)
+
+
+def refusal_for(result: QueryResult, least: float) -> RefusalError:
+    """Return the refusal for a query whose answer does not cover enough."""
+    total = len(result.covered) + len(result.missing)
+    covered = f"{len(result.covered)} of {total} services covered"
+    if result.end is QueryEnd.OVERLOADED:
+        return OverloadedError("the queues of too many services are full")
+    if result.end is QueryEnd.DEADLINE:
+        return DeadlineExceededError(f"{covered} at the deadline")
+    return CoverageBelowMinimumError(f"{covered}, at least {least:g} wanted")
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/serving/metrics.py
@@ -0,0 +1,58 @@
+"""Metrics of the serving path."""
+
+from prometheus_client import REGISTRY, CollectorRegistry, Counter, Histogram
+
+from spindle_decisions.serving.attempt_kind import AttemptKind
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1.0, 2.0, 5.0)
+COVERAGE_BUCKETS = (0.0, 0.5, 0.8, 0.9, 0.95, 0.99, 0.999, 1.0)
+
+
+class ServingMetrics:
+    """Counters and histograms; labels take their values from fixed sets and the catalog."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.requests = Counter(
+            "spindle_requests_total",
+            "Requests by group and how they ended.",
+            ["group", "outcome"],
+            registry=registry,
+        )
+        self.latency = Histogram(
+            "spindle_request_seconds",
+            "Seconds from arrival to the end of a request.",
+            ["group"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.coverage = Histogram(
+            "spindle_coverage_ratio",
+            "Covered share of the services of an answered query.",
+            ["group"],
+            buckets=COVERAGE_BUCKETS,
+            registry=registry,
+        )
+        self.subrequests = Counter(
+            "spindle_subrequests_total",
+            "Sub-requests sent to upstreams by cause.",
+            ["cause"],
+            registry=registry,
+        )
+        self.cancelled = Counter(
+            "spindle_subrequests_cancelled_total",
+            "Sub-requests cancelled before their answer.",
+            registry=registry,
+        )
+        self.probes = Counter(
+            "spindle_probes_total", "Status requests sent to upstreams.", registry=registry
+        )
+        self.by_kind = {kind: self.subrequests.labels(kind.value) for kind in AttemptKind}
+
+    def sent(self, kind: AttemptKind) -> None:
+        """Count a sub-request."""
+        self.by_kind[kind].inc()
+
+
+def create_metrics(registry: CollectorRegistry = REGISTRY) -> ServingMetrics:
+    """Create the metrics, by default in the registry that the process exposes."""
+    return ServingMetrics(registry)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/serving/run_call.py
@@ -0,0 +1,16 @@
+"""A non-idempotent request as a caller asks it."""
+
+import dataclasses
+
+import msgspec
+
+
+@dataclasses.dataclass(frozen=True)
+class RunCall:
+    """A request to run at most once, at the service that owns `key`."""
+
+    group: str
+    request_id: str
+    key: str
+    body: msgspec.Raw
+    deadline_ms: float | None = None
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
@@ -0,0 +1,218 @@
+"""Runs one non-idempotent request at most once."""
+
+import logging
+
+import gevent
+import msgspec
+import xxhash
+
+from spindle_daemon.components.serving import const
+from spindle_daemon.components.serving.claims import Claims
+from spindle_daemon.components.serving.metrics import ServingMetrics
+from spindle_daemon.components.serving.run_answer import RunAnswer
+from spindle_daemon.components.serving.run_call import RunCall
+from spindle_daemon.components.serving.run_waiter import RunWaiter
+from spindle_daemon.components.serving.send_failure import SendFailure
+from spindle_daemon.components.serving.upstream_channel import UpstreamChannel
+from spindle_daemon.components.serving.upstream_connection import METHOD_POST
+from spindle_daemon.components.serving.upstream_news import UpstreamNews
+from spindle_daemon.core.spindle import Spindle
+from spindle_decisions.commands.claim_held import ClaimHeld
+from spindle_decisions.commands.claim_run import ClaimRun
+from spindle_decisions.commands.record_outcome import RecordOutcome
+from spindle_decisions.exceptions import (
+    DeadlineExceededError,
+    OutcomeUnknownError,
+    OverloadedError,
+    RefusalError,
+)
+from spindle_decisions.serving.attempt_kind import AttemptKind
+from spindle_decisions.serving.failure_kind import FailureKind
+from spindle_decisions.serving.query_costs import QueryCosts
+from spindle_decisions.serving.reply_verdict import STATUS_OK, reply_verdict
+from spindle_decisions.serving.run_fate import RunFate
+from spindle_decisions.serving.upstream_board import UpstreamBoard
+from spindle_decisions.serving.upstream_state import UpstreamState
+from spindle_decisions.wire.headers import HEADER_DEADLINE_MS, HEADER_REQUEST_ID
+
+_LOGGER = logging.getLogger(__name__)
+_ENCODER = msgspec.json.Encoder()
+
+
+class RunBody(msgspec.Struct, frozen=True):
+    """The body of a run as an upstream gets it."""
+
+    service: str
+    key: str
+    body: msgspec.Raw
+
+
+class RunRunner:
+    """Claims, dispatches, records and answers, in this order.
+
+    The caller is answered by its deadline. A dispatch that is still without
+    answer then goes on for `RUN_LATE_S`, so that its outcome can be recorded
+    for a resend; it is never cancelled, since that would leave it unknown.
+    """
+
+    def __init__(
+        self,
+        call: RunCall,
+        service: str,
+        attempt: str,
+        deadline: float,
+        claims: Claims,
+        board: UpstreamBoard,
+        channels: dict[str, UpstreamChannel],
+        news: UpstreamNews,
+        spindle: Spindle,
+        metrics: ServingMetrics,
+    ) -> None:
+        self.call = call
+        self.service = service
+        self.attempt = attempt
+        self.deadline = deadline
+        self.claims = claims
+        self.board = board
+        self.channels = channels
+        self.news = news
+        self.spindle = spindle
+        self.metrics = metrics
+        self.fate = RunFate()
+        self.costs = QueryCosts(needed=1)
+        self.tried: set[str] = set()
+
+    def run(self) -> RunAnswer:
+        """Run the request; raise the refusal that is true."""
+        if self.board.fills([self.service])[0] >= 1.0:
+            raise OverloadedError(f"the queue of {self.service} is full")
+        if self.spindle.settings.serving.claims:
+            held = self._claim()
+            if held is not None:
+                return held
+        worker = gevent.spawn(self._dispatch_all)
+        worker.join(max(0.0, self._left_s()))
+        if not worker.ready():
+            raise OutcomeUnknownError("no answer before the deadline; it may still run")
+        result: RunAnswer | RefusalError = worker.get()
+        if isinstance(result, RefusalError):
+            raise result
+        return result
+
+    def _claim(self) -> RunAnswer | None:
+        """Claim the run; return the recorded outcome when it ran before."""
+        if self._left_s() <= 0:
+            raise DeadlineExceededError("the deadline passed before the claim; nothing ran")
+        claim = ClaimRun(
+            request_id=self.call.request_id,
+            request_digest=self._digest(),
+            attempt=self.attempt,
+            instance=self.spindle.settings.instance.name,
+            proposed_at_ms=self.spindle.clock.wall_ms(),
+        )
+        answer = self.claims.claim(claim, self._left_s())
+        if not isinstance(answer, ClaimHeld):
+            return None
+        if not answer.recorded:
+            raise OutcomeUnknownError(f"{answer.instance} holds the claim, no outcome is recorded")
+        return RunAnswer(self.call.request_id, True, msgspec.Raw(answer.body))
+
+    def _digest(self) -> str:
+        """Cover group, key and body; not the service, which a repartition changes."""
+        parts = (self.call.group, self.call.key, bytes(self.call.body))
+        return xxhash.xxh3_128_hexdigest(msgspec.msgpack.encode(parts))
+
+    def _dispatch_all(self) -> RunAnswer | RefusalError:
+        """Send to one replica after another while each says that nothing ran."""
+        while self.fate.may_dispatch and self._left_s() > 0:
+            state = self._take_slot()
+            if state is None:
+                break
+            answer = self._dispatch(state)
+            if answer is not None:
+                return answer
+        if self.fate.not_run:
+            self._record(False, 0, b"")
+        return self.fate.refusal()
+
+    def _take_slot(self) -> UpstreamState | None:
+        now = self.spindle.clock.now()
+        if not self.board.queued(self.service):
+            state = self.board.pick(self.service, None, self.tried, now)
+            if state is not None:
+                return state
+        if not self.board.candidates(self.service, None, self.tried, now):
+            return None
+        waiter = RunWaiter(self.deadline, frozenset(self.tried))
+        if not self.board.enqueue(self.service, waiter):
+            return None
+        waiter.event.wait(max(0.0, self._left_s()))
+        waiter.over = True
+        self.board.withdraw(self.service, waiter)
+        return waiter.state
+
+    def _dispatch(self, state: UpstreamState) -> RunAnswer | None:
+        """Send to one replica; return its outcome, or `None` after a failure."""
+        self.tried.add(state.name)
+        left_s = self._left_s()
+        if left_s <= 0:
+            self.board.returned(state, self.spindle.clock.now())
+            return None
+        kind = AttemptKind.RETRY if self.fate.failures else AttemptKind.PRIMARY
+        self.metrics.sent(kind)
+        self.costs.primaries += kind is AttemptKind.PRIMARY
+        self.costs.retries += kind is AttemptKind.RETRY
+        self.claims.remember(self.call.request_id)
+        sent_at = self.spindle.clock.now()
+        outcome = self._exchange(state, left_s)
+        now = self.spindle.clock.now()
+        if isinstance(outcome, FailureKind):
+            self.fate.failed(outcome)
+            self.board.failed(state, outcome, now)
+            return None
+        self.board.answered(state, now - sent_at, now)
+        self._record(True, STATUS_OK, outcome)
+        return RunAnswer(self.call.request_id, False, msgspec.Raw(outcome))
+
+    def _exchange(self, state: UpstreamState, left_s: float) -> bytes | FailureKind:
+        headers = {
+            HEADER_REQUEST_ID: self.attempt,
+            HEADER_DEADLINE_MS: str(max(1, int(left_s * const.MS_PER_S))),
+        }
+        body = _ENCODER.encode(RunBody(self.service, self.call.key, self.call.body))
+        channel = self.channels[state.name]
+        reply = None
+        with gevent.Timeout(left_s + const.RUN_LATE_S, False):
+            reply = channel.exchange(METHOD_POST, const.PATH_RUN, body, headers)
+        if reply is None:
+            return FailureKind.BROKEN
+        if isinstance(reply, SendFailure):
+            return FailureKind.BROKEN if reply.sent else FailureKind.UNSENT
+        self.news.heard(state.name, reply, self.spindle.clock.now())
+        failure = reply_verdict(
+            reply.status, self.attempt, reply.request_id, reply.not_run, reply.draining
+        )
+        if failure is not None:
+            return failure
+        try:
+            msgspec.json.decode(reply.body)
+        except msgspec.MsgspecError:
+            return FailureKind.BROKEN
+        return reply.body
+
+    def _record(self, ran: bool, status: int, body: bytes) -> None:
+        if not self.spindle.settings.serving.claims:
+            return
+        self.claims.record(
+            RecordOutcome(
+                request_id=self.call.request_id,
+                attempt=self.attempt,
+                ran=ran,
+                status=status,
+                body=body,
+                proposed_at_ms=self.spindle.clock.wall_ms(),
+            )
+        )
+
+    def _left_s(self) -> float:
+        return self.deadline - self.spindle.clock.now()
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/serving/run_waiter.py
@@ -0,0 +1,39 @@
+"""A non-idempotent request that waits for a slot."""
+
+from gevent.event import Event
+
+from spindle_decisions.serving.snapshot_id import SnapshotId
+from spindle_decisions.serving.upstream_state import UpstreamState
+
+
+class RunWaiter:
+    """Waits at one service; any snapshot will do."""
+
+    def __init__(self, deadline: float, avoid: frozenset[str]) -> None:
+        self.deadline = deadline
+        self.avoid = avoid
+        self.state: UpstreamState | None = None
+        self.over = False
+        self.event = Event()
+
+    def waits(self, service: str, now: float) -> bool:
+        """Tell whether the slot is still wanted."""
+        return not self.over and now < self.deadline
+
+    def snapshot_for(self, service: str) -> SnapshotId | None:
+        """Take any snapshot."""
+        return None
+
+    def avoids(self, service: str) -> frozenset[str]:
+        """Return the replicas that were tried."""
+        return self.avoid
+
+    def granted(self, service: str, state: UpstreamState, now: float) -> None:
+        """Take the slot."""
+        self.state = state
+        self.event.set()
+
+    def unservable(self, service: str, now: float) -> None:
+        """Stop waiting."""
+        self.over = True
+        self.event.set()
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/serving/upstream_news.py
@@ -0,0 +1,61 @@
+"""What upstreams tell about themselves, by answers and by status."""
+
+import logging
+
+import msgspec
+
+from spindle_daemon.components.serving.upstream_reply import UpstreamReply
+from spindle_daemon.components.serving.upstream_status import UpstreamStatus
+from spindle_daemon.core.timeline_sink import TimelineSink
+from spindle_decisions.exceptions import BadRequestError
+from spindle_decisions.serving.snapshot_id import parse_snapshot_id
+from spindle_decisions.serving.upstream_board import UpstreamBoard
+from spindle_decisions.timeline.event_kind import EventKind
+
+_LOGGER = logging.getLogger(__name__)
+
+_STATUS_DECODER = msgspec.json.Decoder(UpstreamStatus)
+
+
+class UpstreamNews:
+    """Passes load, drain signals and held snapshots on to the board."""
+
+    def __init__(self, board: UpstreamBoard, timeline: TimelineSink) -> None:
+        self.board = board
+        self.timeline = timeline
+
+    def heard(self, name: str, reply: UpstreamReply, now: float) -> None:
+        """Take in the headers of any answer."""
+        state = self.board.states.get(name)
+        if state is None:
+            return
+        inflight, separator, slots = reply.load.partition("/")
+        if separator and inflight.isdecimal() and slots.isdecimal():
+            state.load.report(int(inflight), int(slots), now)
+        if reply.draining or state.drain.draining:
+            self._drain(name, reply.draining, "header", now)
+
+    def status(self, name: str, reply: UpstreamReply, now: float) -> bool:
+        """Take in the answer to a status request; return whether it could be read."""
+        state = self.board.states.get(name)
+        if state is None:
+            return False
+        try:
+            status = _STATUS_DECODER.decode(reply.body)
+            snapshots = frozenset(parse_snapshot_id(text) for text in status.snapshots)
+        except (msgspec.MsgspecError, BadRequestError) as err:
+            _LOGGER.warning("serving: status of %s cannot be read: %s", name, err)
+            return False
+        if status.service != state.upstream.service:
+            _LOGGER.warning("serving: %s says it serves %s", name, status.service)
+            return False
+        self.board.holds(state, snapshots)
+        state.load.report(status.inflight, status.slots, now)
+        self._drain(name, status.draining, "status", now)
+        return True
+
+    def _drain(self, name: str, draining: bool, source: str, now: float) -> None:
+        state = self.board.states[name]
+        if self.board.drain_told(state, draining, now):
+            self.timeline.add(EventKind.DRAIN_SEEN, f"told by {source}", upstream=name)
+            _LOGGER.info("serving: %s drains, told by %s", name, source)
--- a/packages/daemon/src/spindle_daemon/helpers/http_server.py
+++ b/packages/daemon/src/spindle_daemon/helpers/http_server.py
@@ -7,6 +7,7 @@
 
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from spindle_daemon.helpers.http_limits import HttpLimits
 from spindle_daemon.settings.endpoint import Endpoint
 
 _LOGGER = logging.getLogger(__name__)
@@ -27,8 +28,15 @@
 
     Head and body of an answer leave in two writes; with Nagle's algorithm the
     second waits for the delayed acknowledgement of the first, about 40 ms.
+
+    `limits` and `callers` serve a `LimitsHandler`; `busy` counts requests that
+    are being answered, for a planned stop.
     """
 
+    limits: HttpLimits
+    callers = 0
+    busy = 0
+
     def do_read(self) -> Any:
         """Accept a connection."""
         accepted = super().do_read()
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/cancel.py
@@ -0,0 +1,10 @@
+"""The action that cancels a sub-request."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """Cancel a sub-request by closing its connection."""
+
+    attempt: int
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/failure_kind.py
@@ -0,0 +1,33 @@
+"""How a sub-request failed."""
+
+import enum
+
+
+class FailureKind(enum.StrEnum):
+    """What is known about a sub-request that gave no usable answer.
+
+    `UNSENT` means that no byte left this instance. `SHED`, `DRAINING`,
+    `SNAPSHOT_GONE`, `TOO_LATE` and `REJECTED` are refusals in which the upstream
+    said that nothing ran. `BROKEN` covers everything else: a reset, a truncated body, an
+    answer to another request, an unexpected status.
+    """
+
+    UNSENT = "unsent"
+    SHED = "shed"
+    DRAINING = "draining"
+    SNAPSHOT_GONE = "snapshot-gone"
+    TOO_LATE = "too-late"
+    REJECTED = "rejected"
+    BROKEN = "broken"
+
+
+NOT_RUN_KINDS = frozenset(
+    (
+        FailureKind.UNSENT,
+        FailureKind.SHED,
+        FailureKind.DRAINING,
+        FailureKind.SNAPSHOT_GONE,
+        FailureKind.TOO_LATE,
+        FailureKind.REJECTED,
+    )
+)
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/latency_quantile.py
@@ -0,0 +1,52 @@
+"""A learned quantile of recent latencies."""
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+US_PER_S = 1_000_000
+WINDOW_S = 5.0
+REFRESH_S = 0.25
+MIN_SAMPLES = 50
+
+
+class LatencyQuantile:
+    """The latency below which a share of the recent sub-requests stayed.
+
+    Two histograms rotate, so that the quantile rests on the last one to two
+    windows. It is worked out at most once per `REFRESH_S`, since that costs
+    more than recording.
+    """
+
+    def __init__(self, percentile: float, initial_s: float) -> None:
+        self.percentile = percentile
+        self.value_s = initial_s
+        self.current = _histogram()
+        self.previous = _histogram()
+        self.rotated_at: float | None = None
+        self.refreshed_at = 0.0
+
+    def record(self, latency_s: float, now: float) -> None:
+        """Take in the latency of a sub-request, or how long it had run when cancelled."""
+        if self.rotated_at is None:
+            self.rotated_at = now
+        if now - self.rotated_at > WINDOW_S:
+            self.previous, self.current = self.current, _histogram()
+            self.rotated_at = now
+        self.current.record_value(min(HIGHEST_US, max(LOWEST_US, int(latency_s * US_PER_S))))
+        if now - self.refreshed_at > REFRESH_S:
+            self.refreshed_at = now
+            self._refresh()
+
+    def _refresh(self) -> None:
+        merged = _histogram()
+        merged.add(self.current)
+        merged.add(self.previous)
+        if merged.get_total_count() < MIN_SAMPLES:
+            return
+        self.value_s = merged.get_value_at_percentile(self.percentile) / US_PER_S
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/query_result.py
@@ -0,0 +1,29 @@
+"""What one query found."""
+
+import dataclasses
+
+from spindle_decisions.serving.query_costs import QueryCosts
+from spindle_decisions.serving.query_end import QueryEnd
+from spindle_decisions.serving.snapshot_id import SnapshotId
+
+
+@dataclasses.dataclass(frozen=True)
+class QueryResult:
+    """The rows of the covered services, all of `snapshot`, and what is missing.
+
+    `covered` and `missing` together are the services of the pinned partition
+    epoch. `rows` holds one payload per covered service, in the same order.
+    """
+
+    end: QueryEnd
+    snapshot: SnapshotId | None
+    covered: tuple[str, ...]
+    missing: tuple[str, ...]
+    rows: tuple[object, ...]
+    costs: QueryCosts
+
+    @property
+    def coverage(self) -> float:
+        """The covered share of the services, 0 when there are none."""
+        total = len(self.covered) + len(self.missing)
+        return len(self.covered) / total if total else 0.0
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/replica_score.py
@@ -0,0 +1,27 @@
+"""The score by which replicas are compared."""
+
+from spindle_decisions.serving.upstream_state import UpstreamState
+
+HINT_CAP = 2.0
+HINT_WEIGHT = 0.5
+DISTANCE_PENALTY_S = 0.003
+SLOW_START_S = 5.0
+SLOW_START_FACTOR = 3.0
+
+
+def replica_score(state: UpstreamState, local: bool, now: float) -> float:
+    """Return the expected time to an answer in seconds; the least is best.
+
+    The average latency is scaled by this instance's own requests in flight per
+    slot, and by the reported load as a faded, capped hint, so that a report
+    that lies can shift some work but never all of it. A replica in another data
+    centre pays a fixed distance. A replica in slow start looks slower than it
+    is, by a factor that falls to one within `SLOW_START_S`.
+    """
+    own = state.inflight / state.upstream.slots
+    hint = min(HINT_CAP, state.load.hint(now))
+    score = state.latency.value_s * (1.0 + own + HINT_WEIGHT * hint)
+    age = now - state.since
+    if age < SLOW_START_S:
+        score *= SLOW_START_FACTOR - (SLOW_START_FACTOR - 1.0) * max(0.0, age) / SLOW_START_S
+    return score if local else score + DISTANCE_PENALTY_S
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/reply_verdict.py
@@ -0,0 +1,31 @@
+"""What the answer of an upstream means."""
+
+from spindle_decisions.serving.failure_kind import FailureKind
+
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_UNAVAILABLE = 503
+STATUS_TIMEOUT = 504
+
+
+def reply_verdict(
+    status: int, sent_id: str, echoed_id: str, not_run: bool, draining: bool
+) -> FailureKind | None:
+    """Return `None` for a good answer, else how the sub-request failed.
+
+    An answer that carries another request id belongs to another request and
+    says nothing about this one. Only an explicit "not run" counts as not run.
+    """
+    if echoed_id != sent_id and (echoed_id or status == STATUS_OK):
+        return FailureKind.BROKEN
+    if status == STATUS_OK:
+        return None
+    if not not_run:
+        return FailureKind.BROKEN
+    if status == STATUS_CONFLICT:
+        return FailureKind.SNAPSHOT_GONE
+    if status == STATUS_TIMEOUT:
+        return FailureKind.TOO_LATE
+    if status == STATUS_UNAVAILABLE:
+        return FailureKind.DRAINING if draining else FailureKind.SHED
+    return FailureKind.REJECTED
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/run_fate.py
@@ -0,0 +1,39 @@
+"""What may be said about a non-idempotent request that gave no answer."""
+
+from spindle_decisions.exceptions import NotRunError, OutcomeUnknownError, RefusalError
+from spindle_decisions.serving.failure_kind import NOT_RUN_KINDS, FailureKind
+
+MAX_DISPATCHES = 3
+
+
+class RunFate:
+    """Collects how the dispatches of one request failed.
+
+    The request certainly ran nowhere only while every upstream that may have
+    got a byte of it said "not run". After anything else it must not be sent
+    again, and its outcome is unknown.
+    """
+
+    def __init__(self) -> None:
+        self.failures: list[FailureKind] = []
+
+    @property
+    def not_run(self) -> bool:
+        """Tell whether the request certainly ran nowhere."""
+        return all(kind in NOT_RUN_KINDS for kind in self.failures)
+
+    @property
+    def may_dispatch(self) -> bool:
+        """Tell whether the request may be sent to another replica."""
+        return self.not_run and len(self.failures) < MAX_DISPATCHES
+
+    def failed(self, kind: FailureKind) -> None:
+        """Take in how a dispatch failed."""
+        self.failures.append(kind)
+
+    def refusal(self) -> RefusalError:
+        """Return the refusal to answer with."""
+        said = ", ".join(kind.value for kind in self.failures) or "no replica was free in time"
+        if self.not_run:
+            return NotRunError(f"nothing ran: {said}")
+        return OutcomeUnknownError(f"it may have run: {said}")
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/scatter_shard.py
@@ -0,0 +1,41 @@
+"""One service within one query."""
+
+import dataclasses
+
+from spindle_decisions.serving.attempt_kind import AttemptKind
+from spindle_decisions.serving.upstream_state import UpstreamState
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A sub-request in flight."""
+
+    number: int
+    shard: "ScatterShard"
+    state: UpstreamState
+    kind: AttemptKind
+    sent_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class ScatterShard:
+    """What is known of one service of a query.
+
+    `avoid` holds the replicas that were tried; `next_kind` is the cause of the
+    next sub-request. A shard is settled when it is covered or lost.
+    """
+
+    service: str
+    next_kind: AttemptKind = AttemptKind.PRIMARY
+    flying: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    avoid: set[str] = dataclasses.field(default_factory=set)
+    sent: int = 0
+    waiting: bool = False
+    covered: bool = False
+    lost: bool = False
+    rows: object = None
+
+    @property
+    def settled(self) -> bool:
+        """Tell whether nothing more is expected of this shard."""
+        return self.covered or self.lost
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/slot_waiter.py
@@ -0,0 +1,25 @@
+"""Whoever waits for a slot at a service."""
+
+from typing import Protocol
+
+from spindle_decisions.serving.snapshot_id import SnapshotId
+from spindle_decisions.serving.upstream_state import UpstreamState
+
+
+class SlotWaiter(Protocol):
+    """A request that waits for a slot at one of its services."""
+
+    def waits(self, service: str, now: float) -> bool:
+        """Tell whether the slot is still wanted."""
+
+    def snapshot_for(self, service: str) -> SnapshotId | None:
+        """Return the snapshot to be served, or `None` for any."""
+
+    def avoids(self, service: str) -> frozenset[str]:
+        """Return the upstreams that must not be chosen."""
+
+    def granted(self, service: str, state: UpstreamState, now: float) -> None:
+        """Use the slot that was taken for it."""
+
+    def unservable(self, service: str, now: float) -> None:
+        """Learn that no replica can serve it any more."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/upstream_board.py
@@ -0,0 +1,228 @@
+"""Everything this instance knows about its upstreams, shared by all queries."""
+
+import random
+from collections import deque
+from collections.abc import Collection, Iterable, Sequence
+
+from spindle_decisions.catalog.catalog import EMPTY_CATALOG
+from spindle_decisions.catalog.index import CatalogIndex
+from spindle_decisions.serving.connection_shares import ConnectionShares
+from spindle_decisions.serving.failure_kind import NOT_RUN_KINDS, FailureKind
+from spindle_decisions.serving.serving_policy import ServingPolicy
+from spindle_decisions.serving.slot_waiter import SlotWaiter
+from spindle_decisions.serving.snapshot_choice import SnapshotChoice, choose_snapshot
+from spindle_decisions.serving.snapshot_id import SnapshotId
+from spindle_decisions.serving.upstream_state import UpstreamState
+
+QUEUE_PER_SLOT = 2.0
+HARD_QUEUE_FACTOR = 2.0
+NOBODY: frozenset[str] = frozenset()
+
+
+class UpstreamBoard:
+    """The states of all upstreams, and the queues in front of them.
+
+    Queries take slots with `pick` and give them back with `answered`, `failed`
+    or `abandoned`. A slot that is given back goes to the longest waiting query
+    of the service. The queue of a service is bounded.
+    """
+
+    def __init__(self, policy: ServingPolicy, shares: ConnectionShares, rng: random.Random) -> None:
+        self.policy = policy
+        self.shares = shares
+        self.rng = rng
+        self.index = CatalogIndex(EMPTY_CATALOG)
+        self.states: dict[str, UpstreamState] = {}
+        self.by_service: dict[str, list[UpstreamState]] = {}
+        self.queues: dict[str, deque[SlotWaiter]] = {}
+        self.choices: dict[str, SnapshotChoice | None] = {}
+
+    def take_catalog(self, index: CatalogIndex, now: float) -> None:
+        """Use a newer catalog; upstreams that stay keep what is known about them."""
+        self.index = index
+        states: dict[str, UpstreamState] = {}
+        for upstream in index.catalog.upstreams:
+            state = self.states.get(upstream.name)
+            if state is None or _moved(state, upstream.host, upstream.port):
+                state = UpstreamState(upstream, now)
+            state.upstream = upstream
+            state.share = self.shares.share_of(upstream.connections, now)
+            states[upstream.name] = state
+        self.states = states
+        self.by_service = {
+            name: [states[item.name] for item in upstreams]
+            for name, upstreams in index.by_service.items()
+        }
+        self.choices.clear()
+        self.queues = {name: self.queues.get(name, deque()) for name in index.services}
+
+    def refresh_shares(self, now: float) -> list[UpstreamState]:
+        """Work out all connection shares again; return the states whose share changed."""
+        changed = []
+        for state in self.states.values():
+            share = self.shares.share_of(state.upstream.connections, now)
+            if share != state.share:
+                state.share = share
+                changed.append(state)
+        return changed
+
+    def choose_snapshot(self, group: str) -> SnapshotChoice | None:
+        """Choose the snapshot to pin a query of the group to."""
+        if group not in self.choices:
+            self.choices[group] = choose_snapshot(self.index, group, self._held_by)
+        return self.choices[group]
+
+    def newest_of(self, service: str) -> SnapshotId | None:
+        """Return the newest snapshot that a usable replica of the service holds."""
+        return max(self._held_by(service), default=None)
+
+    def candidates(
+        self, service: str, snapshot: SnapshotId | None, avoid: Collection[str], now: float
+    ) -> list[UpstreamState]:
+        """Return the replicas that may get work for this snapshot, busy or not."""
+        usable = [
+            state
+            for state in self.by_service.get(service, ())
+            if not state.draining
+            and (snapshot is None or snapshot in state.snapshots)
+            and state.name not in avoid
+        ]
+        if len(usable) < 2:
+            return usable
+        return self.policy.in_use(usable, now)
+
+    def pick(
+        self, service: str, snapshot: SnapshotId | None, avoid: Collection[str], now: float
+    ) -> UpstreamState | None:
+        """Take a slot at the best free replica, or return `None` when none is free."""
+        ready = self._ready(self.candidates(service, snapshot, avoid, now))
+        if not ready:
+            return None
+        state = self.policy.choose(ready, now, self.rng)
+        state.inflight += 1
+        return state
+
+    def enqueue(self, service: str, waiter: SlotWaiter) -> bool:
+        """Wait for a slot; return false when the queue of the service is full."""
+        queue = self.queues.get(service)
+        if queue is None or len(queue) >= HARD_QUEUE_FACTOR * self._soft_bound(service):
+            return False
+        queue.append(waiter)
+        return True
+
+    def withdraw(self, service: str, waiter: SlotWaiter) -> None:
+        """Stop waiting."""
+        queue = self.queues.get(service)
+        if queue is not None and waiter in queue:
+            queue.remove(waiter)
+
+    def queued(self, service: str) -> int:
+        """Return how many queries wait at the service."""
+        return len(self.queues.get(service, ()))
+
+    def fills(self, services: Iterable[str]) -> list[float]:
+        """Return how full the queue of each service is; 1 is its soft bound."""
+        return [len(self.queues[name]) / self._soft_bound(name) for name in services]
+
+    def answered(self, state: UpstreamState, latency_s: float, now: float) -> bool:
+        """Give a slot back after a good answer; return true when this restores the replica."""
+        state.latency.observe(latency_s)
+        state.answered_at = now
+        state.limit.answered(latency_s, state.inflight, now)
+        restored = state.ejection.succeeded()
+        self._give_back(state, now)
+        return restored
+
+    def failed(self, state: UpstreamState, kind: FailureKind, now: float) -> bool:
+        """Give a slot back after a failure; return true when this ejects the replica."""
+        ejected = False
+        if kind is FailureKind.SHED:
+            state.limit.shed(now)
+        elif kind is FailureKind.DRAINING:
+            self.drain_told(state, True, now)
+        elif kind is FailureKind.UNSENT or kind not in NOT_RUN_KINDS:
+            ejected = state.ejection.failed(now)
+        self._give_back(state, now)
+        return ejected
+
+    def abandoned(self, state: UpstreamState, sent_at: float, slow: bool, now: float) -> bool:
+        """Give a slot back after a cancellation; return true when this ejects the replica.
+
+        `slow` tells that another replica answered first or time ran out. That
+        is a failure only when the replica answered nobody since `sent_at`: one
+        that goes on answering is loaded, one that does not is stuck.
+        """
+        ejected = False
+        if slow:
+            state.latency.observe_at_least(now - sent_at)
+            ejected = state.answered_at < sent_at and state.ejection.failed(now)
+        self._give_back(state, now)
+        return ejected
+
+    def returned(self, state: UpstreamState, now: float) -> None:
+        """Give a slot back unused."""
+        self._give_back(state, now)
+
+    def holds(self, state: UpstreamState, snapshots: frozenset[SnapshotId]) -> None:
+        """Learn which snapshots the replica holds."""
+        if snapshots != state.snapshots:
+            state.snapshots = snapshots
+            self.choices.clear()
+
+    def snapshot_gone(self, state: UpstreamState, snapshot: SnapshotId) -> None:
+        """Learn that the replica no longer holds a snapshot."""
+        self.holds(state, state.snapshots - {snapshot})
+
+    def drain_told(self, state: UpstreamState, draining: bool, now: float) -> bool:
+        """Learn the replica's own drain signal; return true when a drain begins."""
+        was_draining = state.draining
+        begins = state.drain.report(draining, now)
+        if state.draining != was_draining:
+            self.choices.clear()
+        return begins
+
+    def probe_failed(self, state: UpstreamState, now: float) -> bool:
+        """Learn that the replica did not answer a status request; return true if ejected."""
+        return state.ejection.failed(now)
+
+    def grant_waiting(self, service: str, now: float) -> None:
+        """Hand free slots of a service to the queries that wait for them."""
+        queue = self.queues.get(service)
+        while queue:
+            waiter = queue[0]
+            if not waiter.waits(service, now):
+                queue.popleft()
+                continue
+            snapshot = waiter.snapshot_for(service)
+            avoid = waiter.avoids(service)
+            if not self.candidates(service, snapshot, avoid, now):
+                queue.popleft()
+                waiter.unservable(service, now)
+                continue
+            state = self.pick(service, snapshot, avoid, now)
+            if state is None:
+                return
+            queue.popleft()
+            waiter.granted(service, state, now)
+
+    def _give_back(self, state: UpstreamState, now: float) -> None:
+        state.inflight -= 1
+        self.grant_waiting(state.upstream.service, now)
+
+    def _ready(self, candidates: Sequence[UpstreamState]) -> list[UpstreamState]:
+        return [state for state in candidates if self.policy.admits(state)]
+
+    def _held_by(self, service: str) -> set[SnapshotId]:
+        held: set[SnapshotId] = set()
+        for state in self.by_service.get(service, ()):
+            if not state.draining:
+                held |= state.snapshots
+        return held
+
+    def _soft_bound(self, service: str) -> float:
+        slots = sum(item.upstream.slots for item in self.by_service.get(service, ()))
+        return max(1.0, QUEUE_PER_SLOT * slots)
+
+
+def _moved(state: UpstreamState, host: str, port: int) -> bool:
+    return (state.upstream.host, state.upstream.port) != (host, port)
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/serving/upstream_state.py
@@ -0,0 +1,37 @@
+"""What this instance knows about one upstream."""
+
+from spindle_decisions.catalog.upstream import Upstream
+from spindle_decisions.serving.adaptive_limit import AdaptiveLimit
+from spindle_decisions.serving.ejection import Ejection
+from spindle_decisions.serving.latency_average import LatencyAverage
+from spindle_decisions.serving.reported_drain import ReportedDrain
+from spindle_decisions.serving.reported_load import ReportedLoad
+from spindle_decisions.serving.snapshot_id import SnapshotId
+
+
+class UpstreamState:
+    """Own observations of an upstream first, what it reports second.
+
+    `share` is how many connections this instance may hold to it. `since` is
+    when this instance began to use it, from which slow start counts.
+    """
+
+    def __init__(self, upstream: Upstream, since: float) -> None:
+        self.upstream = upstream
+        self.name = upstream.name
+        self.since = since
+        self.snapshots: frozenset[SnapshotId] = frozenset()
+        self.inflight = 0
+        self.probing = 0
+        self.answered_at = float("-inf")
+        self.share = 1
+        self.latency = LatencyAverage()
+        self.load = ReportedLoad()
+        self.drain = ReportedDrain()
+        self.ejection = Ejection()
+        self.limit = AdaptiveLimit(upstream.slots)
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether new work is forbidden, by the catalog or by the upstream itself."""
+        return self.upstream.draining or self.drain.draining
