--- /dev/null
+++ b/packages/cli/src/spindle_cli/models/__init__.py
@@ -0,0 +1,1 @@
+"""Answers of the admin endpoints."""
--- /dev/null
+++ b/packages/cli/src/spindle_cli/models/founding.py
@@ -0,0 +1,11 @@
+"""The request that begins a deployment."""
+
+import msgspec
+
+from spindle_cli.models.founding_member import FoundingMember
+
+
+class Founding(msgspec.Struct, frozen=True):
+    """The control instances with which a deployment begins."""
+
+    members: tuple[FoundingMember, ...]
--- /dev/null
+++ b/packages/cli/src/spindle_cli/models/founding_member.py
@@ -0,0 +1,10 @@
+"""A control instance with which a deployment begins."""
+
+import msgspec
+
+
+class FoundingMember(msgspec.Struct, frozen=True):
+    """A control instance under the identity of its data folder."""
+
+    name: str
+    folder_id: str
--- /dev/null
+++ b/packages/cli/src/spindle_cli/models/identity_reply.py
@@ -0,0 +1,14 @@
+"""Who a control instance is."""
+
+import msgspec
+
+
+class IdentityReply(msgspec.Struct, frozen=True):
+    """The identity of a control instance and its part in the agreement."""
+
+    name: str
+    folder_id: str
+    blank: bool
+    role: str = ""
+    term: int = 0
+    leader: str = ""
--- /dev/null
+++ b/packages/cli/src/spindle_cli/operator_api.py
@@ -0,0 +1,110 @@
+"""Typed requests to the admin endpoints of a deployment."""
+
+from typing import TypeVar
+
+import msgspec
+from gevent.pool import Pool
+
+from spindle_cli import const
+from spindle_cli.address import Address
+from spindle_cli.answer import Answer
+from spindle_cli.http_client import SignedClient
+from spindle_cli.http_reply import HttpReply
+from spindle_cli.models.error_reply import ErrorReply
+from spindle_decisions.exceptions import (
+    AnswerLostError,
+    NoQuorumError,
+    NotLeaderError,
+    NotRunError,
+    RemoteError,
+    SettingsError,
+    SpindleError,
+    UnreachableError,
+)
+
+ReplyT = TypeVar("ReplyT")
+
+HTTP_OK = 200
+ASK_ANOTHER = frozenset({NoQuorumError.code, NotLeaderError.code, NotRunError.code})
+
+
+class OperatorApi:
+    """Asks control instances one after the other, or many processes at once."""
+
+    def __init__(self, client: SignedClient, controls: tuple[Address, ...]) -> None:
+        self.client = client
+        self.controls = controls
+
+    def ask(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        kind: type[ReplyT],
+        body: bytes = b"",
+        timeout_s: float = const.REQUEST_TIMEOUT_S,
+    ) -> ReplyT:
+        """Ask one process; raise `RemoteError` for the error that it answers."""
+        reply = self.client.request(address, method, path, body, timeout_s)
+        if reply.status != HTTP_OK:
+            raise _remote_error(reply)
+        try:
+            return msgspec.json.decode(reply.body, type=kind)
+        except msgspec.MsgspecError as err:
+            raise AnswerLostError(f"{address}: answer cannot be read: {err}") from err
+
+    def ask_any(self, method: str, path: str, kind: type[ReplyT], body: bytes = b"") -> ReplyT:
+        """Ask the control instances in turn until one answers.
+
+        Only for requests that change nothing: one without an answer is put to
+        the next control instance.
+        """
+        errors: list[SpindleError] = []
+        for address in self.required_controls():
+            try:
+                return self.ask(address, method, path, kind, body)
+            except RemoteError as err:
+                if err.code not in ASK_ANOTHER:
+                    raise
+                errors.append(err)
+            except (UnreachableError, AnswerLostError) as err:
+                errors.append(err)
+        raise UnreachableError("; ".join(str(err) for err in errors))
+
+    def ask_all(
+        self, addresses: tuple[Address, ...], path: str, kind: type[ReplyT]
+    ) -> list[Answer[ReplyT]]:
+        """Ask many processes at once; each gives its answer or its error."""
+        return self.ask_each([(address, path) for address in addresses], kind)
+
+    def ask_each(
+        self, requests: list[tuple[Address, str]], kind: type[ReplyT]
+    ) -> list[Answer[ReplyT]]:
+        """Send each request to its process, several at a time, in the order given."""
+
+        def one(request: tuple[Address, str]) -> Answer[ReplyT]:
+            address, path = request
+            try:
+                return Answer(address, self.ask(address, "GET", path, kind))
+            except SpindleError as err:
+                return Answer(address, error=err)
+
+        pool = Pool(const.MAX_PARALLEL_REQUESTS)
+        return list(pool.imap(one, requests))
+
+    def required_controls(self) -> tuple[Address, ...]:
+        """Return the control instances to ask; raise `SettingsError` when none is known."""
+        if not self.controls:
+            raise SettingsError(
+                f"no control instance given: allowed: --control IP:PORT, {const.ENV_CONTROLS}, "
+                f"or {const.CONF_CONTROLS} in the file of --config"
+            )
+        return self.controls
+
+
+def _remote_error(reply: HttpReply) -> RemoteError:
+    try:
+        error = msgspec.json.decode(reply.body, type=ErrorReply)
+    except msgspec.MsgspecError:
+        return RemoteError(ErrorReply().code, f"HTTP status {reply.status}", reply.status)
+    return RemoteError(error.code, error.text, reply.status, error.winner_digest)
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/account/latency_figures.py
@@ -0,0 +1,63 @@
+"""Percentiles and distribution of latency for the page."""
+
+import math
+
+from spindle_decisions.account.group_totals import GroupTotals
+from spindle_decisions.account.latency import new_histogram, value_at_rank
+from spindle_decisions.account.latency_bar import LatencyBar
+from spindle_decisions.account.percentile import Percentile
+
+PERCENTS = (50.0, 90.0, 95.0, 99.0, 99.9)
+PER_MILLE_OF_PERCENT = 10
+FULL_SCALE = 1000
+BARS_PER_DOUBLING = 2
+FIRST_BAR_US = 1000
+
+
+def percentiles(totals: GroupTotals) -> tuple[Percentile, ...]:
+    """Return percentiles over all requests of the day, those without an end included."""
+    total = totals.total()
+    if not total:
+        return ()
+    everything = new_histogram()
+    everything.add(totals.whole)
+    everything.add(totals.other)
+    found: list[Percentile] = []
+    for percent in PERCENTS:
+        rank = rank_of(percent, total)
+        found.append(
+            Percentile(percent, value_at_rank(everything, rank), value_at_rank(totals.whole, rank))
+        )
+    return tuple(found)
+
+
+def rank_of(percent: float, total: int) -> int:
+    """Return the rank, from 1, of the smallest value that covers the share."""
+    scaled = round(percent * PER_MILLE_OF_PERCENT)
+    return max(1, -(-total * scaled // FULL_SCALE))
+
+
+def latency_bars(totals: GroupTotals) -> tuple[LatencyBar, ...]:
+    """Return the distribution in bars that grow by the square root of two."""
+    counts: dict[int, list[int]] = {}
+    for index in range(totals.whole.counts_len):
+        whole = totals.whole.get_count_at_index(index)
+        other = totals.other.get_count_at_index(index)
+        if not whole and not other:
+            continue
+        bar = counts.setdefault(_bar_of(totals.whole.get_value_from_index(index)), [0, 0])
+        bar[0] += whole
+        bar[1] += other
+    return tuple(
+        LatencyBar(_upper_us(bar), whole, other) for bar, (whole, other) in sorted(counts.items())
+    )
+
+
+def _bar_of(value_us: int) -> int:
+    if value_us <= FIRST_BAR_US:
+        return 0
+    return math.ceil(BARS_PER_DOUBLING * math.log2(value_us / FIRST_BAR_US))
+
+
+def _upper_us(bar: int) -> int:
+    return round(FIRST_BAR_US * 2 ** (bar / BARS_PER_DOUBLING))
--- a/packages/decisions/src/spindle_decisions/account/minute_counter.py
+++ b/packages/decisions/src/spindle_decisions/account/minute_counter.py
@@ -41,6 +41,7 @@
         self.known = known
         self.names: set[str] = set()
         self.in_flight: dict[str, int] = {}
+        self.started_ms = wall_ms
         self.seen_ms = wall_ms
         self.spans: list[Span] = []
         self._open(wall_ms, wall_ms)
@@ -108,6 +109,7 @@
             data_center=self.data_center,
             minute=self.minute,
             revision=self.revision,
+            started_ms=self.started_ms,
             spans=tuple(self.spans),
             final=final,
             last=last,
--- a/packages/decisions/src/spindle_decisions/account/minute_summary.py
+++ b/packages/decisions/src/spindle_decisions/account/minute_summary.py
@@ -15,7 +15,8 @@
 
     `minute` is Unix time in minutes. Instance, incarnation and minute identify
     a summary; of several with the same identity the highest `revision` holds
-    and the others are void. `spans` is the wall time for which the counts are
+    and the others are void. `started_ms` is the wall time at which the run
+    began to count, `spans` the wall time for which the counts of the minute are
     complete. `final` is set when the minute is over, `last` when the instance
     stopped as planned and nothing follows.
     """
@@ -25,6 +26,7 @@
     data_center: str
     minute: int
     revision: int
+    started_ms: int = 0
     spans: tuple[Span, ...] = ()
     final: bool = False
     last: bool = False
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/account/run.py
@@ -0,0 +1,53 @@
+"""One run of an entry instance as its summaries show it."""
+
+import dataclasses
+
+from spindle_decisions.account.minute_summary import MinuteSummary
+from spindle_decisions.account.span import Span
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """The summaries of one incarnation in the order of their minutes; never empty."""
+
+    instance: str
+    incarnation: int
+    data_center: str
+    started_ms: int
+    summaries: tuple[MinuteSummary, ...]
+
+    def spans(self) -> tuple[Span, ...]:
+        """Return the counted stretches in order, joined where they touch."""
+        joined: list[Span] = []
+        for summary in self.summaries:
+            for span in summary.spans:
+                if joined and span.from_ms <= joined[-1].to_ms:
+                    end = max(joined[-1].to_ms, span.to_ms)
+                    joined[-1] = Span(joined[-1].from_ms, end)
+                else:
+                    joined.append(span)
+        return tuple(joined)
+
+    def end_ms(self) -> int:
+        """Return the end of the last counted stretch."""
+        spans = self.spans()
+        return spans[-1].to_ms if spans else self.started_ms
+
+    def ended_as_planned(self) -> bool:
+        """Tell whether the run handed everything over when it stopped."""
+        return self.summaries[-1].last
+
+
+def build_runs(summaries: list[MinuteSummary]) -> list[Run]:
+    """Sort summaries into runs, by instance and time of start."""
+    by_run: dict[tuple[str, int], list[MinuteSummary]] = {}
+    for summary in summaries:
+        by_run.setdefault((summary.instance, summary.incarnation), []).append(summary)
+    runs = [_build_run(items) for items in by_run.values()]
+    return sorted(runs, key=lambda run: (run.instance, run.started_ms, run.incarnation))
+
+
+def _build_run(items: list[MinuteSummary]) -> Run:
+    items.sort(key=lambda summary: summary.minute)
+    first = items[0]
+    return Run(first.instance, first.incarnation, first.data_center, first.started_ms, tuple(items))
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/account/summary_set.py
@@ -0,0 +1,48 @@
+"""The summaries of a day without duplicates."""
+
+from collections.abc import Iterable
+
+from spindle_decisions.account.minute_summary import MinuteSummary, decode_summary
+from spindle_decisions.exceptions import FrameError
+
+
+class SummarySet:
+    """Takes encoded summaries from any number of control instances, in any order.
+
+    Of several with the same instance, incarnation and minute the highest
+    revision holds. Two that differ at the same revision are a fault; the first
+    one holds and the fault is counted, as are those that cannot be read.
+    """
+
+    def __init__(self) -> None:
+        self.held: dict[tuple[str, int, int], MinuteSummary] = {}
+        self.unreadable = 0
+        self.conflicts = 0
+
+    def add_all(self, summaries: Iterable[bytes]) -> None:
+        """Take in encoded summaries."""
+        for data in summaries:
+            try:
+                summary = decode_summary(data)
+            except FrameError:
+                self.unreadable += 1
+                continue
+            self.add(summary)
+
+    def add(self, summary: MinuteSummary) -> None:
+        """Take in one summary."""
+        key = (summary.instance, summary.incarnation, summary.minute)
+        held = self.held.get(key)
+        if held is None or summary.revision > held.revision:
+            self.held[key] = summary
+        elif summary.revision == held.revision and summary != held:
+            self.conflicts += 1
+
+    def problems(self) -> tuple[str, ...]:
+        """Say in sentences what was wrong with the summaries."""
+        found: list[str] = []
+        if self.unreadable:
+            found.append(f"{self.unreadable} summaries could not be read")
+        if self.conflicts:
+            found.append(f"{self.conflicts} summaries contradict another of the same revision")
+        return tuple(found)
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/account/verdicts.py
@@ -0,0 +1,60 @@
+"""Judging of a group's day."""
+
+from spindle_decisions.account.group_totals import GroupTotals
+from spindle_decisions.account.shares import PER_CENT, percent_down
+from spindle_decisions.account.verdict import Verdict
+
+GOOD_SHARE_PER_CENT = 99
+
+
+def judge(totals: GroupTotals, complete: bool) -> Verdict:
+    """Judge by the share of whole answers within the target over all requests.
+
+    Everything else counts against the day: late and partial answers, refusals
+    of any code, unknown outcomes, callers that gave up and requests that were
+    lost. What is good only as far as known is `INCOMPLETE`.
+    """
+    total = totals.total()
+    if totals.counts["answered"] * PER_CENT < total * GOOD_SHARE_PER_CENT:
+        return Verdict.MISSED
+    if not complete:
+        return Verdict.INCOMPLETE
+    return Verdict.GOOD if total else Verdict.NO_QUERIES
+
+
+def verdict_line(totals: GroupTotals, verdict: Verdict, gaps: int, problems: int) -> str:
+    """Write the verdict in one line, with what a reader must not overlook."""
+    parts = [f"{verdict.upper()}: {_share_line(totals)}"]
+    if totals.counts["outcome_unknown"]:
+        parts.append(f"{totals.counts['outcome_unknown']:,} with unknown outcome")
+    if totals.lost:
+        parts.append(f"{totals.lost:,} arrived and their end is not known")
+    if gaps:
+        parts.append(f"{gaps} {_plural('gap', gaps)} in the counts")
+    if problems:
+        parts.append(f"{problems} {_plural('source', problems)} missing or faulty")
+    return "; ".join(parts)
+
+
+def _share_line(totals: GroupTotals) -> str:
+    total = totals.total()
+    if not total:
+        return "no request ended"
+    return (
+        f"{percent_down(totals.counts['answered'], total)} of {total:,} requests had the whole "
+        f"answer within {target_text(totals.target_min_ms, totals.target_max_ms)} "
+        f"(wanted: {GOOD_SHARE_PER_CENT}%)"
+    )
+
+
+def target_text(least_ms: int, most_ms: int) -> str:
+    """Write the target of a group; it may have changed during the day."""
+    if not most_ms:
+        return "an unknown target"
+    if least_ms == most_ms:
+        return f"{most_ms} ms"
+    return f"{least_ms} to {most_ms} ms"
+
+
+def _plural(word: str, count: int) -> str:
+    return word if count == 1 else f"{word}s"
--- /dev/null
+++ b/tests/decisions/account/test_page.py
@@ -0,0 +1,181 @@
+"""Tests of the day's page: it must never look better than the day was."""
+
+import unittest
+
+from nose2.tools import params
+
+from spindle_decisions.account.gaps import REASON_CRASH, REASON_SILENT
+from spindle_decisions.account.minute_summary import MinuteSummary
+from spindle_decisions.account.page_builder import build_page
+from spindle_decisions.account.query_outcome import QueryOutcome
+from spindle_decisions.account.query_record import QueryRecord
+from spindle_decisions.account.shares import percent_down, percent_up
+from spindle_decisions.account.summary_set import SummarySet
+from spindle_decisions.account.verdict import Verdict
+from tests.decisions.account.common import DAY_MS, MINUTE_MS, counter, record, window
+
+Q = QueryOutcome
+
+
+def run_day(
+    records: list[QueryRecord], unended: int = 0, instance: str = "entry-a", minutes: int = 1440
+) -> list[MinuteSummary]:
+    """Return the summaries of an instance that serves all records in its first minute."""
+    account = counter(instance)
+    for item in records:
+        account.arrived(item.group)
+        account.finished(item)
+    for _ in range(unended):
+        account.arrived("comptoir")
+    summaries = []
+    for second in range(1, minutes * 60 + 1):
+        closed = account.tick(second * 1000)
+        if closed is not None:
+            summaries.append(closed)
+    return summaries
+
+
+def summary_set(summaries: list[MinuteSummary]) -> SummarySet:
+    held = SummarySet()
+    for summary in summaries:
+        held.add(summary)
+    return held
+
+
+class TestVerdict(unittest.TestCase):
+    @params(
+        ("all good", [record()] * 100, Verdict.GOOD),
+        ("one late of 100", [record()] * 99 + [record(latency_ms=331)], Verdict.GOOD),
+        ("two late of 100", [record()] * 98 + [record(latency_ms=331)] * 2, Verdict.MISSED),
+        (
+            "fast refusals are not good answers",
+            [record()] * 98 + [record(Q.REFUSED, 1, covered=0, code="overloaded")] * 2,
+            Verdict.MISSED,
+        ),
+        ("partial", [record()] * 98 + [record(Q.PARTIAL, covered=3)] * 2, Verdict.MISSED),
+        ("called whole", [record()] * 98 + [record(covered=3)] * 2, Verdict.MISSED),
+        ("abandoned", [record()] * 98 + [record(Q.CALLER_GONE)] * 2, Verdict.MISSED),
+        ("unknown", [record()] * 98 + [record(Q.OUTCOME_UNKNOWN)] * 2, Verdict.MISSED),
+    )
+    def test_only_whole_answers_in_time_are_good(
+        self, _name: str, records: list[QueryRecord], expected: Verdict
+    ) -> None:
+        page = build_page(window(), summary_set(run_day(records)))
+        self.assertEqual(page.gaps, ())
+        self.assertEqual(page.groups[0].verdict, expected, page.groups[0].line)
+
+    def test_a_good_day_still_names_unknown_outcomes(self) -> None:
+        records = [record()] * 199 + [record(Q.REFUSED, code="outcome-unknown")]
+        page = build_page(window(), summary_set(run_day(records)))
+        self.assertEqual(page.groups[0].verdict, Verdict.GOOD)
+        self.assertIn("1 with unknown outcome", page.groups[0].line)
+
+    @params(
+        ("unreachable control", ("10.0.0.2:9000 could not be asked",), frozenset()),
+        ("silent entry", (), frozenset({"entry-a", "entry-b"})),
+    )
+    def test_a_missing_source_is_never_good(
+        self, _name: str, problems: tuple[str, ...], expected: frozenset[str]
+    ) -> None:
+        page = build_page(window(), summary_set(run_day([record()])), problems, expected)
+        self.assertEqual(page.groups[0].verdict, Verdict.INCOMPLETE)
+        self.assertEqual(len(page.problems), 1)
+
+    def test_requests_without_an_end_count_against_the_day(self) -> None:
+        summaries = run_day([record()] * 98, unended=2, minutes=30)
+        page = build_page(window(), summary_set(summaries))
+        group = page.groups[0]
+        self.assertEqual((group.lost, group.total, group.verdict), (2, 100, Verdict.MISSED))
+        self.assertIsNone(group.percentiles[-1].all_us)
+
+    def test_percentiles_of_whole_answers_count_the_others_as_never(self) -> None:
+        records = [record()] * 90 + [record(Q.REFUSED, 1, code="overloaded")] * 10
+        page = build_page(window(), summary_set(run_day(records)))
+        by_percent = {item.percent: item for item in page.groups[0].percentiles}
+        self.assertIsNotNone(by_percent[90.0].whole_us)
+        self.assertIsNone(by_percent[95.0].whole_us)
+        self.assertIsNotNone(by_percent[95.0].all_us)
+
+    @params(
+        (9999, 10001, "99.98%", "99.99%"), (1, 100_000, "0.00%", "0.01%"), (0, 0, "none", "none")
+    )
+    def test_shares_are_rounded_against_the_page(
+        self, part: int, whole: int, down: str, up: str
+    ) -> None:
+        self.assertEqual((percent_down(part, whole), percent_up(part, whole)), (down, up))
+
+
+class TestGaps(unittest.TestCase):
+    def setUp(self) -> None:
+        self.day = run_day([record()])
+
+    def gaps_of(self, summaries: list[MinuteSummary], asked_ms: int = 2 * DAY_MS) -> list[str]:
+        page = build_page(window(asked_ms=asked_ms), summary_set(summaries))
+        return [
+            f"{gap.from_ms // MINUTE_MS}-{gap.to_ms // MINUTE_MS} {gap.reason}" for gap in page.gaps
+        ]
+
+    def test_a_whole_day_has_none(self) -> None:
+        self.assertEqual(self.gaps_of(self.day), [])
+
+    def test_lost_minutes_are_named(self) -> None:
+        found = self.gaps_of(self.day[:100] + self.day[103:])
+        self.assertEqual([item.split()[0] for item in found], ["100-103"])
+
+    def test_the_first_minutes_of_a_run_are_owed_too(self) -> None:
+        self.assertEqual([item.split()[0] for item in self.gaps_of(self.day[5:])], ["0-5"])
+
+    def test_silence_lasts_until_the_end_of_the_day(self) -> None:
+        self.assertEqual(self.gaps_of(self.day[:700]), [f"700-1440 {REASON_SILENT}"])
+
+    def test_a_planned_stop_leaves_none(self) -> None:
+        account = counter()
+        self.assertEqual(self.gaps_of([account.close(30_000)]), [])
+
+    def test_a_crash_leaves_one_up_to_the_next_run(self) -> None:
+        following = counter(incarnation=2, wall_ms=50 * MINUTE_MS)
+        found = self.gaps_of(self.day[:40] + [following.close(50 * MINUTE_MS + 500)])
+        self.assertEqual(found, [f"40-50 {REASON_CRASH}"])
+
+    def test_a_crash_with_a_clock_set_back_is_still_named(self) -> None:
+        following = counter(incarnation=2, wall_ms=39 * MINUTE_MS)
+        found = self.gaps_of(self.day[:40] + [following.close(41 * MINUTE_MS)])
+        self.assertEqual(found, [f"40-40 {REASON_CRASH}"])
+
+    def test_a_run_known_from_the_day_before_is_owed_from_midnight(self) -> None:
+        held = summary_set(self.day[:1400])
+        page = build_page(window(1400 * MINUTE_MS, 1500 * MINUTE_MS), held)
+        self.assertEqual([gap.reason for gap in page.gaps], [REASON_SILENT])
+
+    def test_a_day_under_way_is_owed_up_to_now(self) -> None:
+        self.assertEqual(self.gaps_of(self.day[:700], 700 * MINUTE_MS + 5_000), [])
+
+    def test_a_frozen_process_leaves_one(self) -> None:
+        account = counter()
+        account.tick(1_000)
+        self.assertIsNone(account.tick(20_000))
+        self.assertEqual(len(self.gaps_of([account.close(21_000)])), 1)
+
+    def test_a_clock_set_back_opens_no_minute_twice(self) -> None:
+        account = counter(wall_ms=10 * MINUTE_MS)
+        self.assertIsNone(account.tick(2 * MINUTE_MS))
+        account.arrived("comptoir")
+        account.finished(record())
+        self.assertEqual(account.close(2 * MINUTE_MS).minute, 10)
+
+
+class TestSummarySet(unittest.TestCase):
+    def test_the_highest_revision_holds_in_any_order(self) -> None:
+        account = counter()
+        early = account.checkpoint()
+        account.arrived("comptoir")
+        late = account.checkpoint()
+        for order in ([early, late, early], [late, early, late]):
+            held = summary_set(order)
+            self.assertEqual(list(held.held.values()), [late])
+            self.assertEqual(held.problems(), ())
+
+    def test_contradictions_and_garbage_are_problems(self) -> None:
+        held = summary_set([counter().checkpoint(), counter(wall_ms=1).checkpoint()])
+        held.add_all([b"garbage"])
+        self.assertEqual(len(held.problems()), 2)
