--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -49,17 +49,14 @@
 
     def start_standins(self) -> None:
         """Start all stand-in processes."""
-        for standin in self.plan.standins:
-            self.start_standin(standin.name)
+        for name in sorted({item.process for item in self.plan.upstreams}):
+            self.start_standin(name)
 
     def start_standin(self, name: str) -> None:
         """Start, or start again, one stand-in process."""
-        port = next(item.control_port for item in self.plan.standins if item.name == name)
         own = tuple(item for item in self.plan.upstreams if item.process == name)
-        if not own:
-            return
         path = self.folder / f"{name}.ini"
-        path.write_text(files.standin_settings(own, self.plan, port))
+        path.write_text(files.standin_settings(own, self.plan))
         self._start(name, "spindle_devkit.upstream", ["--config", str(path)])
 
     def start_instance(self, name: str) -> None:
--- a/bench/files.py
+++ b/bench/files.py
@@ -44,22 +44,17 @@
     return render_ini(sections)
 
 
-def standin_settings(
-    upstreams: tuple[UpstreamPlan, ...], plan: DeploymentPlan, control_port: int
-) -> str:
+def standin_settings(upstreams: tuple[UpstreamPlan, ...], plan: DeploymentPlan) -> str:
     """Return the settings file of one stand-in process."""
     groups = {group.name: group for group in plan.groups}
     return render_ini(
-        {
-            "standin": {"port": str(control_port)},
-            **{f"upstream {item.name}": _upstream(item, groups[item.group]) for item in upstreams},
-        }
+        {f"upstream {item.name}": _upstream(item, groups[item.group]) for item in upstreams}
     )
 
 
 def _upstream(item: UpstreamPlan, group: GroupPlan) -> Section:
     return {
-        "port": str(item.port),
+        "listen": f"{LOOPBACK}:{item.port}",
         "service": item.service,
         "slots": str(group.slots),
         "connections": str(group.connections),
--- a/bench/plan.py
+++ b/bench/plan.py
@@ -30,14 +30,6 @@
     settings: tuple[tuple[str, str], ...] = ()
 
 
-@dataclasses.dataclass(frozen=True)
-class StandinPlan:
-    """A process that serves stand-in upstreams, and the port of its control side."""
-
-    name: str
-    control_port: int
-
-
 @dataclasses.dataclass(frozen=True)
 class GroupPlan:
     """A group with its number of services and of upstreams per service."""
@@ -64,7 +56,6 @@
     entries: tuple[InstancePlan, ...]
     groups: tuple[GroupPlan, ...]
     upstreams: tuple[UpstreamPlan, ...]
-    standins: tuple[StandinPlan, ...]
     data_centers: tuple[str, ...]
     entry_settings: tuple[tuple[str, str], ...] = ()
     serving_settings: tuple[tuple[str, str], ...] = ()
--- a/bench/plan_builder.py
+++ b/bench/plan_builder.py
@@ -1,6 +1,6 @@
 """Building of deployment plans on free loopback ports."""
 
-from bench.plan import DeploymentPlan, GroupPlan, InstancePlan, StandinPlan, UpstreamPlan
+from bench.plan import DeploymentPlan, GroupPlan, InstancePlan, UpstreamPlan
 from bench.ports import free_ports
 
 PORTS_PER_CONTROL = 2
@@ -28,10 +28,7 @@
     others share `standin_processes` processes.
     """
     upstream_count = sum(group.services * group.replicas for group in groups)
-    standins = [f"standin-{number + 1}" for number in range(standin_processes)]
-    standins.extend(f"standin-{name}" for name in sorted(own_process))
-    needed = controls * PORTS_PER_CONTROL + entries * PORTS_PER_ENTRY
-    needed += upstream_count + len(standins)
+    needed = controls * PORTS_PER_CONTROL + entries * PORTS_PER_ENTRY + upstream_count
     ports = iter(free_ports(needed))
     return DeploymentPlan(
         controls=tuple(
@@ -71,7 +68,6 @@
             for replica in range(group.replicas)
             for name in [f"{group.name}-{service + 1:02d}-{'abcdefgh'[replica]}"]
         ),
-        standins=tuple(StandinPlan(name, next(ports)) for name in standins),
         data_centers=data_centers,
         entry_settings=entry_settings,
         serving_settings=serving_settings,
--- a/packages/daemon/src/spindle_daemon/__main__.py
+++ b/packages/daemon/src/spindle_daemon/__main__.py
@@ -5,7 +5,6 @@
 gevent.monkey.patch_all()
 
 import pathlib  # noqa: E402
-import sys  # noqa: E402
 from typing import Annotated  # noqa: E402
 
 import typer  # noqa: E402
@@ -47,4 +46,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
