--- /dev/null
+++ b/bench/experiments/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the serving path, with real processes."""
--- /dev/null
+++ b/bench/experiments/serving/cpu_meter.py
@@ -0,0 +1,24 @@
+"""Processor time of processes."""
+
+import os
+import pathlib
+from collections.abc import Iterable
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_USER_FIELD = 11
+_SYSTEM_FIELD = 12
+
+
+def process_cpu_s(pid: int) -> float:
+    """Return user and system seconds of a process; 0 when it has ended."""
+    try:
+        text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    except OSError:
+        return 0.0
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])) / _TICKS_PER_S
+
+
+def total_cpu_s(pids: Iterable[int]) -> float:
+    """Return the sum over several processes."""
+    return sum(process_cpu_s(pid) for pid in pids)
--- /dev/null
+++ b/bench/experiments/serving/cpu_use.py
@@ -0,0 +1,37 @@
+"""Processor use of a deployment by role."""
+
+import os
+import time
+
+from bench.experiments.figures import Figures
+from bench.experiments.serving.cpu_meter import total_cpu_s
+from bench.experiments.serving.serving_deployment import ServingDeployment
+
+
+class CpuUse:
+    """Measures from its construction on, for the processes that then run."""
+
+    def __init__(self, deployment: ServingDeployment) -> None:
+        self.pids: dict[str, list[int]] = {"entry": [], "control": [], "standin": []}
+        for name, process in deployment.processes.items():
+            if process.child is not None:
+                self.pids[name.partition("-")[0]].append(process.child.pid)
+        self.pids["load"] = [os.getpid()]
+        self.started = time.monotonic()
+        self.at_start = {role: total_cpu_s(pids) for role, pids in self.pids.items()}
+
+    def seconds(self, role: str) -> float:
+        """Return the processor seconds of a role so far."""
+        return total_cpu_s(self.pids[role]) - self.at_start[role]
+
+    def figures(self) -> Figures:
+        """Return cores used by role and the number of processes."""
+        took_s = time.monotonic() - self.started
+        cores = {role: round(self.seconds(role) / took_s, 3) for role in self.pids}
+        counts = {role: len(pids) for role, pids in self.pids.items()}
+        return {
+            "cores_used": cores,
+            "cores_used_total": round(sum(cores.values()), 3),
+            "cores_of_machine": os.cpu_count() or 0,
+            "processes": counts,
+        }
--- /dev/null
+++ b/bench/experiments/serving/load_totals.py
@@ -0,0 +1,41 @@
+"""What upstreams did during a load."""
+
+from collections.abc import Mapping, Sequence
+
+from bench.experiments.figures import Figures
+from bench.load.query_record import QueryRecord
+from spindle_devkit.upstream.counters import Counters
+
+_SUMMED = ("arrived", "executed", "finished", "cancelled_running", "cancelled_queued")
+_REFUSED = ("refused_shed", "refused_draining", "refused_snapshot", "refused_deadline")
+
+
+def upstream_totals(
+    before: Mapping[str, Counters], after: Mapping[str, Counters]
+) -> dict[str, int]:
+    """Return the growth of each counter, summed over the upstreams."""
+    return {
+        name: sum(
+            getattr(now, name) - (getattr(before[key], name) if key in before else 0)
+            for key, now in after.items()
+        )
+        for name in (*_SUMMED, *_REFUSED)
+    }
+
+
+def added_load_ratio(arrived: int, records: Sequence[QueryRecord]) -> float:
+    """Return sub-requests that arrived at upstreams over the least needed, less 1.
+
+    The least needed is one per service that an answer covers, so work for a
+    query that got no answer is added load.
+    """
+    needed = sum(record.covered for record in records)
+    return round(arrived / needed - 1.0, 5) if needed else 0.0
+
+
+def connection_totals(after: Mapping[str, Counters]) -> Figures:
+    """Return how many connections the upstreams saw at most, and refused."""
+    return {
+        "connections_max": max(item.connections_max for item in after.values()),
+        "connections_refused": sum(item.connections_refused for item in after.values()),
+    }
--- /dev/null
+++ b/bench/experiments/serving/not_run_check.py
@@ -0,0 +1,20 @@
+"""Compares what callers were told with what upstreams ran."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from bench.load.answer_check import MARK_KEY
+from bench.load.query_record import QueryRecord
+from spindle_devkit.upstream.execution import Execution
+
+
+def ran_after_all(records: Iterable[QueryRecord], executions: Iterable[Execution]) -> int:
+    """Return how many queries that were told as not run did run at some upstream."""
+    ran = {_mark(item) for item in executions if item.started_ms > 0}
+    return sum(1 for record in records if record.not_run and record.mark in ran)
+
+
+def _mark(execution: Execution) -> str:
+    asked = msgspec.json.decode(execution.asked, type=dict[str, str])
+    return asked.get(MARK_KEY, "")
--- /dev/null
+++ b/bench/experiments/serving/serving_arm.py
@@ -0,0 +1,22 @@
+"""One arm of a serving experiment."""
+
+from dataclasses import dataclass
+
+Pairs = tuple[tuple[str, str], ...]
+
+NAIVE: Pairs = (("policy", "naive"),)
+TIER: Pairs = ()
+
+
+@dataclass(frozen=True)
+class ServingArm:
+    """The name of an arm and the settings of `[serving]` that make it."""
+
+    name: str
+    serving: Pairs
+
+
+def arms_without(*switches: str) -> tuple[ServingArm, ...]:
+    """Return naive, the tier without the mechanisms under test, and the tier as shipped."""
+    off = tuple((name, "off") for name in switches)
+    return (ServingArm("naive", NAIVE), ServingArm("without", off), ServingArm("tier", TIER))
--- /dev/null
+++ b/bench/experiments/serving/serving_deployment.py
@@ -0,0 +1,82 @@
+"""A deployment whose stand-in processes have a control side."""
+
+import pathlib
+
+import gevent
+
+from bench import files
+from bench.deployment import START_TIMEOUT_S, Deployment
+from bench.experiments.serving.standin_client import StandinClient
+from bench.plan import DeploymentPlan
+from bench.ports import LOOPBACK, free_ports
+from spindle_devkit.endpoint import Endpoint
+from spindle_devkit.upstream.behavior_change import BehaviorChange
+from spindle_devkit.upstream.counters import Counters
+from spindle_devkit.upstream.execution import Execution
+
+_POLL_S = 0.05
+
+
+class ServingDeployment(Deployment):
+    """Knows which process serves which upstream, and reads all of them."""
+
+    def __init__(self, plan: DeploymentPlan, folder: pathlib.Path) -> None:
+        super().__init__(plan, folder)
+        self.process_of = {item.name: item.process for item in plan.upstreams}
+        names = sorted(set(self.process_of.values()))
+        self.control_ports = dict(zip(names, free_ports(len(names)), strict=True))
+
+    def start_standins(self) -> None:
+        """Start all stand-in processes."""
+        for name in self.control_ports:
+            self.start_standin(name)
+
+    def start_standin(self, name: str) -> None:
+        """Start, or start again, one stand-in process."""
+        own = tuple(item for item in self.plan.upstreams if item.process == name)
+        listen = f"\n[standin]\nlisten = {LOOPBACK}:{self.control_ports[name]}\n"
+        path = self.folder / f"{name}.ini"
+        path.write_text(files.standin_settings(own, self.plan) + listen)
+        self._start(name, "spindle_devkit.upstream", ["--config", str(path)])
+
+    def change(self, change: BehaviorChange) -> None:
+        """Change one upstream, or all of them when none is named."""
+        names = [self.process_of[change.upstream]] if change.upstream else self.control_ports
+        for name in names:
+            client = StandinClient(self.control_ports[name])
+            client.change(change)
+            client.close()
+
+    def counters(self) -> dict[str, Counters]:
+        """Return the totals of all upstreams by name."""
+        found: dict[str, Counters] = {}
+        for port in self.control_ports.values():
+            client = StandinClient(port)
+            found.update(client.counters())
+            client.close()
+        return found
+
+    def executions(self) -> list[Execution]:
+        """Return the newest executions of all upstreams."""
+        found: list[Execution] = []
+        for port in self.control_ports.values():
+            client = StandinClient(port)
+            found.extend(client.report().executions)
+            client.close()
+        return found
+
+    def entry_endpoints(self) -> tuple[Endpoint, ...]:
+        """Return the addresses that callers use."""
+        return tuple(Endpoint(LOOPBACK, item.entry_port) for item in self.plan.entries)
+
+    def wait_ready_while_serving(self, name: str) -> None:
+        """Wait until an instance is ready without stopping the loop that offers load."""
+        with gevent.Timeout(START_TIMEOUT_S):
+            while not self._ready(name):
+                gevent.sleep(_POLL_S)
+
+    def _ready(self, name: str) -> bool:
+        try:
+            return self.operator(name, 1.0).get("/readyz").status == 200
+        except OSError:
+            return False
--- /dev/null
+++ b/bench/experiments/serving/serving_run.py
@@ -0,0 +1,145 @@
+"""Runs one load against one deployment."""
+
+import contextlib
+import dataclasses
+import time
+from collections.abc import Iterator
+
+import msgspec
+
+from bench.experiments.context import Context
+from bench.experiments.figures import Figures
+from bench.experiments.serving import sizes
+from bench.experiments.serving.cpu_use import CpuUse
+from bench.experiments.serving.load_totals import (
+    added_load_ratio,
+    connection_totals,
+    upstream_totals,
+)
+from bench.experiments.serving.serving_arm import ServingArm
+from bench.experiments.serving.serving_deployment import ServingDeployment
+from bench.experiments.serving.workload import Workload
+from bench.load.answer_check import ServicesByEpoch
+from bench.load.generator import Generator
+from bench.load.load_run import LoadRun
+from bench.load.load_settings import LoadSettings
+from bench.load.query_record import QueryRecord
+from bench.load.summary import summarize
+from bench.plan import DeploymentPlan, GroupPlan
+from bench.plan_builder import build_plan
+
+
+def serving_plan(context: Context, arm: ServingArm, workload: Workload) -> DeploymentPlan:
+    """Return the deployment of an arm; every upstream has a seed of its own."""
+    group = GroupPlan(
+        sizes.GROUP,
+        sizes.SERVICES,
+        sizes.REPLICAS,
+        slots=sizes.SLOTS,
+        connections=sizes.CONNECTIONS,
+    )
+    plan = build_plan(
+        (group,),
+        entries=workload.entries,
+        data_centers=("rennes-a",),
+        upstream_settings=workload.upstream_settings(),
+        standin_processes=sizes.STANDIN_PROCESSES,
+        own_process=workload.own_process,
+        serving_settings=arm.serving,
+    )
+    return seeded(plan, context.seed)
+
+
+def seeded(plan: DeploymentPlan, seed: int) -> DeploymentPlan:
+    """Return the plan with seeds for the service times of its upstreams."""
+    upstreams = tuple(
+        dataclasses.replace(
+            item, settings=(*item.settings, ("seed", str(seed * len(plan.upstreams) + number)))
+        )
+        for number, item in enumerate(plan.upstreams)
+    )
+    return dataclasses.replace(plan, upstreams=upstreams)
+
+
+@contextlib.contextmanager
+def serving(context: Context, arm: ServingArm, workload: Workload) -> Iterator[ServingDeployment]:
+    """Run the deployment of an arm."""
+    folder = context.folder / arm.name
+    folder.mkdir(parents=True, exist_ok=True)
+    deployment = ServingDeployment(serving_plan(context, arm, workload), folder)
+    try:
+        deployment.start()
+        yield deployment
+    finally:
+        deployment.kill_all()
+
+
+def offered(
+    context: Context, workload: Workload, deployment: ServingDeployment, prefix: str = "load"
+) -> LoadSettings:
+    """Return the load on all entries of a deployment."""
+    return LoadSettings(
+        group=sizes.GROUP,
+        entries=deployment.entry_endpoints(),
+        rate_per_s=workload.rate_per_s,
+        duration_s=workload.duration_s,
+        seed=context.seed,
+        deadline_ms=workload.deadline_ms,
+        prefix=prefix,
+    )
+
+
+def warm_up(context: Context, workload: Workload, deployment: ServingDeployment) -> None:
+    """Offer the same load for a while, so that connections and quantiles exist."""
+    settings = dataclasses.replace(
+        offered(context, workload, deployment, "warm-up"), duration_s=workload.warm_up_s
+    )
+    Generator(settings, {}).run()
+
+
+def measure(
+    context: Context,
+    arm: ServingArm,
+    workload: Workload,
+    deployment: ServingDeployment,
+    services: ServicesByEpoch | None = None,
+) -> tuple[Figures, LoadRun]:
+    """Offer the load once and return the figures with every query's record."""
+    before, cpu = deployment.counters(), CpuUse(deployment)
+    run = Generator(offered(context, workload, deployment), services or {}).run()
+    figures: Figures = {**load_figures(run.records), **cpu.figures()}
+    after = deployment.counters()
+    totals = upstream_totals(before, after)
+    figures["added_load_ratio"] = added_load_ratio(totals["arrived"], run.records)
+    figures["upstreams"] = totals
+    figures["send_lag_max_ms"] = round(run.send_lag_max_ms, 1)
+    figures.update(connection_totals(after))
+    figures["settings"] = settings_of(arm, workload)
+    return figures, run
+
+
+def load_figures(records: list[QueryRecord]) -> Figures:
+    """Return what the callers saw, as figures."""
+    return msgspec.structs.asdict(summarize(records))
+
+
+def settings_of(arm: ServingArm, workload: Workload) -> dict[str, str]:
+    """Return what an arm was run with, in words and numbers."""
+    return {
+        "serving": " ".join(f"{key}={value}" for key, value in arm.serving) or "as shipped",
+        "services": str(sizes.SERVICES),
+        "upstreams_per_service": str(sizes.REPLICAS),
+        "slots": str(sizes.SLOTS),
+        "connections": str(sizes.CONNECTIONS),
+        "entries": str(workload.entries),
+        "capacity_queries_per_s": f"{workload.capacity_per_s:.1f}",
+        "offered_queries_per_s": f"{workload.rate_per_s:.1f}",
+        "duration_s": f"{workload.duration_s:g}",
+        "deadline_ms": str(workload.deadline_ms),
+        **dict(workload.upstream_settings()),
+    }
+
+
+def wall_ms() -> float:
+    """Return Unix milliseconds, as executions carry them."""
+    return time.time() * 1_000.0
--- /dev/null
+++ b/bench/experiments/serving/stragglers.py
@@ -0,0 +1,63 @@
+"""How much of the tail that stragglers cause the tier takes away."""
+
+from collections.abc import Mapping, Sequence
+
+from bench.experiments.arm import Arm
+from bench.experiments.context import Context
+from bench.experiments.experiment import Experiment
+from bench.experiments.figures import Figures, number
+from bench.experiments.serving.serving_arm import ServingArm, arms_without
+from bench.experiments.serving.serving_run import measure, serving, warm_up
+from bench.experiments.serving.workload import Workload
+from bench.experiments.target import Target, at_least, at_most
+
+FULL = Workload(
+    load_factor=0.5,
+    duration_s=40.0,
+    warm_up_s=5.0,
+    median_ms=40.0,
+    straggler_ratio=0.02,
+    straggler_factor=20.0,
+)
+SHORT = Workload(
+    load_factor=0.5,
+    duration_s=6.0,
+    warm_up_s=2.0,
+    median_ms=40.0,
+    straggler_ratio=0.02,
+    straggler_factor=20.0,
+)
+P99_RATIO = 1 / 3
+ADDED_LOAD = 0.10
+FULL_COVERAGE = 0.999
+
+
+def _arm(context: Context, arm: ServingArm) -> Arm:
+    workload = SHORT if context.short else FULL
+
+    def run() -> Figures:
+        with serving(context, arm, workload) as deployment:
+            warm_up(context, workload, deployment)
+            return measure(context, arm, workload, deployment)[0]
+
+    return Arm(arm.name, run)
+
+
+def _arms(context: Context) -> Sequence[Arm]:
+    return [_arm(context, arm) for arm in arms_without("hedging")]
+
+
+def _targets(arms: Mapping[str, Figures]) -> Sequence[Target]:
+    tier, naive = arms["tier"], arms["naive"]
+    ratio = number(tier, "p99_ms") / number(naive, "p99_ms")
+    return [
+        at_most("p99 of tier over p99 of naive", ratio, P99_RATIO),
+        at_most("added load of tier", number(tier, "added_load_ratio"), ADDED_LOAD),
+        at_least("full coverage of tier", number(tier, "full_coverage_ratio"), FULL_COVERAGE),
+        at_most("wrong answers of tier", number(tier, "wrong"), 0),
+    ]
+
+
+EXPERIMENT = Experiment(
+    "stragglers", "p99 with 2% of executions 20 times slower, at half load", _arms, _targets
+)
