--- /dev/null
+++ b/bench/experiments/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes from which the size to design for is worked out."""
--- /dev/null
+++ b/bench/experiments/capacity/catalog_trial.py
@@ -0,0 +1,77 @@
+"""Costs of the catalog and of release notes against the number of upstreams."""
+
+import msgspec
+
+from bench import files
+from bench.experiments.capacity.slope import cpu_us, fit, held_bytes
+from bench.experiments.figures import Figures
+from bench.plan import DeploymentPlan, GroupPlan, UpstreamPlan
+from spindle_decisions.catalog.catalog import EMPTY_CATALOG, Catalog
+from spindle_decisions.catalog.index import CatalogIndex
+from spindle_decisions.notes.applier import apply_note
+from spindle_decisions.notes.parser import parse_note
+
+UPSTREAMS = (50, 200, 500, 1000, 1700)
+SERVICE_RATIO = 1300 / 1700
+
+
+def founded(upstreams: int) -> Catalog:
+    """Return a catalog with that many upstreams."""
+    services = int(upstreams * SERVICE_RATIO)
+    plan = DeploymentPlan(
+        controls=(),
+        entries=(),
+        groups=(GroupPlan("comptoir", services, 1),),
+        upstreams=tuple(
+            UpstreamPlan(
+                f"u-{number:04d}",
+                f"comptoir-{number % services + 1:02d}",
+                "comptoir",
+                "rennes-a",
+                10_000 + number,
+                "none",
+            )
+            for number in range(upstreams)
+        ),
+        data_centers=("rennes-a",),
+    )
+    return apply_note(EMPTY_CATALOG, parse_note(files.founding_note(plan)))
+
+
+def small_note() -> str:
+    """Return a note that changes one upstream."""
+    head = files.note_head(2)
+    return files.render_ini({"note": head, "changed upstream u-0000": {"draining": "yes"}})
+
+
+def note_apply(_repeats: int) -> Figures:
+    """Parse and apply a one-line note, index and digest the catalog."""
+    text = small_note()
+
+    def cost(upstreams: int) -> float:
+        catalog = founded(upstreams)
+
+        def work() -> None:
+            applied = apply_note(catalog, parse_note(text))
+            applied.digest()
+            CatalogIndex(applied)
+
+        return cpu_us(work, 10)
+
+    return fit("us per note, by upstreams", UPSTREAMS, [cost(size) for size in UPSTREAMS])
+
+
+def catalog_memory(_repeats: int) -> Figures:
+    """Hold a decoded catalog with its index."""
+
+    def held(upstreams: int) -> float:
+        data = msgspec.msgpack.encode(founded(upstreams))
+        return held_bytes(lambda: CatalogIndex(msgspec.msgpack.decode(data, type=Catalog)))
+
+    return fit("bytes held, by upstreams", UPSTREAMS, [held(size) for size in UPSTREAMS])
+
+
+def catalog_bytes(_repeats: int) -> Figures:
+    """Encode a whole catalog, as it is sent to an instance that holds none."""
+    sizes = [float(len(msgspec.msgpack.encode(founded(size)))) for size in UPSTREAMS]
+    return fit("bytes on the wire, by upstreams", UPSTREAMS, sizes)
