--- /dev/null
+++ b/bench/experiments/serving/fault_frozen.py
@@ -0,0 +1,17 @@
+"""The upstream's process is frozen."""
+
+from bench.experiments.serving.serving_deployment import ServingDeployment
+
+
+class FaultFrozen:
+    """Suspends the process; its connections stay open and silent."""
+
+    name = "frozen"
+
+    def begin(self, deployment: ServingDeployment, victim: str) -> None:
+        """Suspend the process of the victim."""
+        deployment.processes[deployment.process_of[victim]].freeze()
+
+    def end(self, deployment: ServingDeployment, victim: str) -> None:
+        """Resume the process of the victim."""
+        deployment.processes[deployment.process_of[victim]].wake()
--- /dev/null
+++ b/bench/experiments/serving/fault_lying.py
@@ -0,0 +1,26 @@
+"""The upstream says that it is idle while it is slow."""
+
+from bench.experiments.serving.serving_deployment import ServingDeployment
+from spindle_devkit.upstream.behavior_change import BehaviorChange
+
+
+class FaultLying:
+    """Reports no load and takes several times as long."""
+
+    name = "lying"
+
+    def __init__(self, median_ms: float, slower: float) -> None:
+        self.median_ms = median_ms
+        self.slower = slower
+
+    def begin(self, deployment: ServingDeployment, victim: str) -> None:
+        """Make the victim slow and let it report no load."""
+        deployment.change(
+            BehaviorChange(upstream=victim, reported_load=0, median_ms=self.median_ms * self.slower)
+        )
+
+    def end(self, deployment: ServingDeployment, victim: str) -> None:
+        """Make the victim fast and truthful again."""
+        deployment.change(
+            BehaviorChange(upstream=victim, truthful_load=True, median_ms=self.median_ms)
+        )
--- a/bench/experiments/serving/serving_run.py
+++ b/bench/experiments/serving/serving_run.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import dataclasses
-import time
 from collections.abc import Iterator
 
 import msgspec
@@ -64,9 +63,18 @@
 @contextlib.contextmanager
 def serving(context: Context, arm: ServingArm, workload: Workload) -> Iterator[ServingDeployment]:
     """Run the deployment of an arm."""
+    with serving_with(context, arm, serving_plan(context, arm, workload)) as deployment:
+        yield deployment
+
+
+@contextlib.contextmanager
+def serving_with(
+    context: Context, arm: ServingArm, plan: DeploymentPlan
+) -> Iterator[ServingDeployment]:
+    """Run a deployment with a plan of its own."""
     folder = context.folder / arm.name
     folder.mkdir(parents=True, exist_ok=True)
-    deployment = ServingDeployment(serving_plan(context, arm, workload), folder)
+    deployment = ServingDeployment(plan, folder)
     try:
         deployment.start()
         yield deployment
@@ -138,8 +146,3 @@
         "deadline_ms": str(workload.deadline_ms),
         **dict(workload.upstream_settings()),
     }
-
-
-def wall_ms() -> float:
-    """Return Unix milliseconds, as executions carry them."""
-    return time.time() * 1_000.0
--- /dev/null
+++ b/bench/experiments/serving/upstream_fault.py
@@ -0,0 +1,128 @@
+"""How fast full coverage comes back when one upstream fails, and what the tail then is."""
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+import gevent
+
+from bench.experiments.arm import Arm
+from bench.experiments.context import Context
+from bench.experiments.experiment import Experiment
+from bench.experiments.figures import Figures, number
+from bench.experiments.serving import sizes
+from bench.experiments.serving.cpu_use import CpuUse
+from bench.experiments.serving.fault import Fault
+from bench.experiments.serving.fault_frozen import FaultFrozen
+from bench.experiments.serving.fault_killed import FaultKilled
+from bench.experiments.serving.fault_lying import FaultLying
+from bench.experiments.serving.fault_none import FaultNone
+from bench.experiments.serving.serving_arm import ServingArm, arms_without
+from bench.experiments.serving.serving_deployment import ServingDeployment
+from bench.experiments.serving.serving_run import (
+    load_figures,
+    offered,
+    serving,
+    settings_of,
+    warm_up,
+)
+from bench.experiments.serving.workload import Workload
+from bench.experiments.target import Target, at_most
+from bench.load.generator import Generator
+from bench.load.query_record import QueryRecord
+from bench.load.summary import summarize
+
+VICTIM = f"{sizes.GROUP}-01-a"
+MEDIAN_MS = 40.0
+SLOWER = 10.0
+FAULT_AT_S = 1.0
+WINDOW_S = 2.0
+SETTLE_S = 1.5
+RECOVERY_S = 2.0
+P99_RATIO = 1.5
+NONE = "none"
+
+FULL = Workload(
+    load_factor=0.3,
+    duration_s=12.0,
+    warm_up_s=4.0,
+    median_ms=MEDIAN_MS,
+    deadline_ms=1_000,
+    own_process=frozenset({VICTIM}),
+)
+SHORT = dataclasses.replace(FULL, duration_s=5.0, warm_up_s=1.5)
+
+
+def _faults(context: Context, arm: ServingArm) -> Sequence[Fault]:
+    if context.short and arm.name != "tier":
+        return [FaultFrozen()]
+    return [FaultNone(), FaultKilled(), FaultFrozen(), FaultLying(MEDIAN_MS, SLOWER)]
+
+
+def _phase(
+    context: Context, workload: Workload, deployment: ServingDeployment, fault: Fault
+) -> list[QueryRecord]:
+    settings = offered(context, workload, deployment, fault.name)
+    generator = Generator(settings, {})
+    begin = gevent.spawn_later(FAULT_AT_S, fault.begin, deployment, VICTIM)
+    records = generator.run().records
+    begin.get()
+    fault.end(deployment, VICTIM)
+    gevent.sleep(SETTLE_S)
+    return records
+
+
+def _phase_figures(name: str, records: list[QueryRecord]) -> Figures:
+    broken = [item.at_s for item in records if item.at_s >= FAULT_AT_S and not item.full]
+    window_end_s = FAULT_AT_S + WINDOW_S
+    outside = [item for item in records if not FAULT_AT_S <= item.at_s < window_end_s]
+    return {
+        f"{name}_recovery_s": round(max(broken) - FAULT_AT_S, 3) if broken else 0.0,
+        f"{name}_not_full": sum(not item.full for item in records),
+        f"{name}_p99_ms": summarize(records).p99_ms,
+        f"{name}_p99_outside_ms": summarize(outside).p99_ms,
+    }
+
+
+def _arm(context: Context, arm: ServingArm) -> Arm:
+    workload = SHORT if context.short else FULL
+
+    def run() -> Figures:
+        with serving(context, arm, workload) as deployment:
+            warm_up(context, workload, deployment)
+            cpu = CpuUse(deployment)
+            figures: Figures = {}
+            records: list[QueryRecord] = []
+            for fault in _faults(context, arm):
+                found = _phase(context, workload, deployment, fault)
+                figures.update(_phase_figures(fault.name, found))
+                records.extend(found)
+            figures.update(load_figures(records))
+            figures.update(cpu.figures())
+            figures["settings"] = settings_of(arm, workload)
+            return figures
+
+    return Arm(arm.name, run)
+
+
+def _arms(context: Context) -> Sequence[Arm]:
+    return [_arm(context, arm) for arm in arms_without("ejection", "hedging", "retries")]
+
+
+def _targets(arms: Mapping[str, Figures]) -> Sequence[Target]:
+    tier = arms["tier"]
+    calm_ms = number(tier, f"{NONE}_p99_outside_ms")
+    targets = [at_most("wrong answers of tier", number(tier, "wrong"), 0)]
+    for name in (FaultKilled.name, FaultFrozen.name, FaultLying.name):
+        recovery_s = number(tier, f"{name}_recovery_s")
+        ratio = number(tier, f"{name}_p99_outside_ms") / calm_ms
+        targets.append(at_most(f"{name}: seconds to full coverage", recovery_s, RECOVERY_S))
+        targets.append(at_most(f"{name}: p99 outside 2 s over fault-free", ratio, P99_RATIO))
+    return targets
+
+
+EXPERIMENT = Experiment(
+    "upstream-fault",
+    "one upstream killed, frozen, or slow while it reports no load",
+    _arms,
+    _targets,
+)
--- a/bench/load/generator.py
+++ b/bench/load/generator.py
@@ -21,6 +21,7 @@
         check = AnswerCheck(services)
         self.settings = settings
         self.callers = [Caller(settings, n, check) for n in range(len(settings.entries))]
+        self.live = list(range(len(self.callers)))
         self.send_lag_max_s = 0.0
         self.started = 0.0
 
@@ -41,10 +42,18 @@
             caller.close()
         return LoadRun(records, self.send_lag_max_s * const.MS_PER_S, self.started)
 
+    def leave(self, entry: int) -> None:
+        """Send nothing more to an entry instance, as a balancer does."""
+        self.live.remove(entry)
+
+    def join(self, entry: int) -> None:
+        """Send to an entry instance again."""
+        self.live.append(entry)
+
     def _ask(self, number: int, at_s: float) -> QueryRecord:
         intended = self.started + at_s
         self.send_lag_max_s = max(self.send_lag_max_s, time.monotonic() - intended)
-        caller = self.callers[number % len(self.callers)]
+        caller = self.callers[self.live[number % len(self.live)]]
         return caller.ask(f"{self.settings.prefix}-{number}", at_s, intended)
 
 
