Add the command line and the renderers of the page

A note whose answer was lost is sent again, byte for byte, to one control instance after the other; it is an unknown outcome only when an answer was lost and none came later.

--- /dev/null
+++ b/packages/cli/src/spindle_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module each."""
--- /dev/null
+++ b/packages/cli/src/spindle_cli/commands/apply.py
@@ -0,0 +1,56 @@
+"""The commands `apply` and `check`."""
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+from spindle_cli import const
+from spindle_cli.commands.options import session_of
+from spindle_cli.models.checked_note import CheckedNote
+from spindle_cli.note_sender import NoteSender
+from spindle_cli.output import print_json
+from spindle_decisions.exceptions import SettingsError
+
+NoteFile = Annotated[pathlib.Path, typer.Argument(help="The release note, an INI file.")]
+Wait = Annotated[
+    float, typer.Option("--wait", min=1, help="Seconds to go on resending after a lost answer.")
+]
+
+
+def apply(ctx: typer.Context, note: NoteFile, wait: Wait = const.DEFAULT_NOTE_WAIT_S) -> None:
+    """Apply a release note.
+
+    The very same note may be sent any number of times: it is applied once, and
+    every resend gets the first outcome. When an answer is lost the command
+    resends by itself, to the other control instances too.
+    """
+    session = session_of(ctx)
+    text = read_note(note)
+    applied = NoteSender(session.api(), wait).send(text)
+    if session.settings.as_json:
+        print_json(applied)
+        return
+    typer.echo(
+        f"note {applied.number} ({applied.note_id}) accepted as version {applied.version}, "
+        f"digest {applied.digest}\nwhere it is in force: spindlectl status"
+    )
+
+
+def check(ctx: typer.Context, note: NoteFile) -> None:
+    """Check a release note against the agreed state; nothing is changed."""
+    session = session_of(ctx)
+    text = read_note(note)
+    checked = session.api().ask_any("POST", const.PATH_CHECK, CheckedNote, text)
+    if session.settings.as_json:
+        print_json(checked)
+        return
+    typer.echo(f"note {checked.number} is good and would lead to version {checked.version}")
+
+
+def read_note(path: pathlib.Path) -> bytes:
+    """Read a note file; raise `SettingsError` when it cannot be read."""
+    try:
+        return path.read_bytes()
+    except OSError as err:
+        raise SettingsError(f"note {path} cannot be read: {err.strerror}") from err
--- /dev/null
+++ b/packages/cli/src/spindle_cli/commands/drain.py
@@ -0,0 +1,77 @@
+"""The commands `drain` and `undrain`."""
+
+import getpass
+import time
+import uuid
+from typing import Annotated
+
+import typer
+
+from spindle_cli import const
+from spindle_cli.commands.options import session_of
+from spindle_cli.drain_note import drain_note
+from spindle_cli.models.note_row import NoteRow
+from spindle_cli.note_sender import NoteSender
+from spindle_cli.operator_api import OperatorApi
+from spindle_cli.output import print_json
+from spindle_decisions.commands.note_applied import NoteApplied
+from spindle_decisions.exceptions import NoteConflictError, RemoteError, UnreachableError
+
+CODE_NUMBER_NOT_NEXT = "note-number-not-next"
+NUMBER_RACE = frozenset({NoteConflictError.code, CODE_NUMBER_NOT_NEXT})
+AUTHOR_CHARS = 64
+ID_CHARS = 12
+
+Upstream = Annotated[str, typer.Argument(help="The name of the upstream.")]
+Wait = Annotated[float, typer.Option("--wait", min=1, help="Seconds to try in all.")]
+
+
+def drain(ctx: typer.Context, upstream: Upstream, wait: Wait = const.DEFAULT_NOTE_WAIT_S) -> None:
+    """Give an upstream no new work.
+
+    The command writes and applies a release note with the next free number.
+    """
+    _change(ctx, upstream, True, wait)
+
+
+def undrain(ctx: typer.Context, upstream: Upstream, wait: Wait = const.DEFAULT_NOTE_WAIT_S) -> None:
+    """Give an upstream new work again."""
+    _change(ctx, upstream, False, wait)
+
+
+def _change(ctx: typer.Context, upstream: str, draining: bool, wait_s: float) -> None:
+    session = session_of(ctx)
+    applied = apply_with_next_number(session.api(), upstream, draining, wait_s)
+    if session.settings.as_json:
+        print_json(applied)
+        return
+    what = "drains" if draining else "takes work again"
+    typer.echo(f"upstream {upstream} {what} by note {applied.number}, version {applied.version}")
+
+
+def apply_with_next_number(
+    api: OperatorApi, upstream: str, draining: bool, wait_s: float
+) -> NoteApplied:
+    """Apply a drain note with the next free number; another operator may take it first.
+
+    A lost race is tried again with a newer number under the same id, since the
+    note that lost is certainly not applied. An unknown outcome is not.
+    """
+    deadline = time.monotonic() + wait_s
+    note_id = f"drain-{uuid.uuid4().hex[:ID_CHARS]}"
+    author = getpass.getuser()[:AUTHOR_CHARS]
+    while (left := deadline - time.monotonic()) > 0:
+        number = next_number(api)
+        text = drain_note(number, note_id, author, upstream, draining)
+        try:
+            return NoteSender(api, left).send(text)
+        except RemoteError as err:
+            if err.code not in NUMBER_RACE:
+                raise
+    raise UnreachableError("other notes took every number that was tried; nothing was changed")
+
+
+def next_number(api: OperatorApi) -> int:
+    """Return the number after the highest that is taken."""
+    rows = api.ask_any("GET", const.PATH_NOTES, tuple[NoteRow, ...])
+    return max((row.number for row in rows), default=0) + 1
--- /dev/null
+++ b/packages/cli/src/spindle_cli/commands/page.py
@@ -0,0 +1,78 @@
+"""The command `page`."""
+
+import pathlib
+import time
+from typing import Annotated
+
+import msgspec
+import typer
+
+from spindle_cli.commands.options import session_of
+from spindle_cli.day_window import day_window
+from spindle_cli.page.text_page import render_text
+from spindle_cli.page_format import PageFormat
+from spindle_cli.processes import find_processes
+from spindle_cli.settings_loader import parse_timezone
+from spindle_cli.summary_source import SummarySource
+from spindle_decisions.account.day_page import DayPage
+from spindle_decisions.account.page_builder import build_page
+from spindle_decisions.exceptions import SettingsError
+
+MS_PER_S = 1000
+ROLE_ENTRY = "entry"
+
+
+def page(
+    ctx: typer.Context,
+    day: Annotated[str, typer.Option(help="YYYY-MM-DD; today when left out.")] = "",
+    group: Annotated[str, typer.Option(help="Only this service group.")] = "",
+    form: Annotated[
+        PageFormat, typer.Option("--format", help="How the page is written.")
+    ] = PageFormat.TEXT,
+    output: Annotated[
+        pathlib.Path | None, typer.Option(help="Write to this file, not to the terminal.")
+    ] = None,
+    timezone: Annotated[str, typer.Option(help="Time zone of the day, as in Europe/Paris.")] = "",
+) -> None:
+    """Write the page of a day: whether it went well, and how that is known.
+
+    Every request counts from its arrival. What is missing is named, and no
+    group is judged good over a gap.
+    """
+    session = session_of(ctx)
+    zone = parse_timezone(timezone) if timezone else session.settings.timezone
+    window = day_window(day, zone, int(time.time() * MS_PER_S))
+    api = session.api()
+    processes = find_processes(api)
+    source = SummarySource(api, processes)
+    source.fetch(window)
+    live = frozenset(
+        item.instance
+        for item in processes.instances
+        if item.role == ROLE_ENTRY and not item.leaving and not window.is_over()
+    )
+    built = build_page(window, source.summaries, tuple(source.problems), live, group)
+    form = PageFormat.JSON if session.settings.as_json else form
+    write_out(render(built, form), output)
+
+
+def render(built: DayPage, form: PageFormat) -> str:
+    """Return the page in one of its forms."""
+    if form is PageFormat.JSON:
+        return msgspec.json.format(msgspec.json.encode(built), indent=2).decode()
+    if form is PageFormat.HTML:
+        from spindle_cli.page.html_page import render_html
+
+        return render_html(built)
+    return render_text(built)
+
+
+def write_out(text: str, output: pathlib.Path | None) -> None:
+    """Write to a file or to the terminal; raise `SettingsError` when the file cannot be."""
+    if output is None:
+        typer.echo(text)
+        return
+    try:
+        output.write_text(text + "\n", encoding="utf-8")
+    except OSError as err:
+        raise SettingsError(f"{output} cannot be written: {err.strerror}") from err
--- /dev/null
+++ b/packages/cli/src/spindle_cli/commands/repair.py
@@ -0,0 +1,105 @@
+"""The commands `bootstrap` and `repair`."""
+
+from typing import Annotated
+
+import msgspec
+import typer
+
+from spindle_cli import const
+from spindle_cli.commands.options import session_of
+from spindle_cli.models.founding import Founding
+from spindle_cli.models.founding_member import FoundingMember
+from spindle_cli.models.identity_reply import IdentityReply
+from spindle_cli.models.member_row import MemberRow
+from spindle_cli.models.repair_reply import RepairReply
+from spindle_cli.models.repair_request import RepairRequest
+from spindle_cli.operator_api import OperatorApi
+from spindle_cli.output import print_json
+from spindle_decisions.exceptions import BadRequestError, MembershipChangeError, UnreachableError
+
+ACTION_EXPLAIN = "explain"
+ACTION_FORCE = "force-membership"
+
+
+def bootstrap(ctx: typer.Context) -> None:
+    """Begin a new deployment with the control instances given by --control.
+
+    Every one of them must answer and be blank. The command is refused when one
+    already belongs to a deployment; run again after a lost answer, it goes on
+    only if all blank ones are still blank.
+    """
+    session = session_of(ctx)
+    api = session.api()
+    identities = read_identities(api)
+    used = [item.name for item in identities if not item.blank]
+    if used:
+        raise MembershipChangeError(f"not blank: {', '.join(used)}; nothing was changed")
+    founding = Founding(tuple(FoundingMember(item.name, item.folder_id) for item in identities))
+    body = msgspec.json.encode(founding)
+    for address in api.required_controls():
+        api.ask(address, "POST", const.PATH_BOOTSTRAP, tuple[MemberRow, ...], body)
+    if session.settings.as_json:
+        print_json(founding)
+        return
+    names = ", ".join(member.name for member in founding.members)
+    typer.echo(f"deployment begun with {names}")
+
+
+def read_identities(api: OperatorApi) -> list[IdentityReply]:
+    """Ask every given control instance who it is; raise unless all answer, each once."""
+    answers = api.ask_all(api.required_controls(), const.PATH_IDENTITY, IdentityReply)
+    failed = [str(item.error) for item in answers if item.error is not None]
+    if failed:
+        raise UnreachableError(f"nothing was changed: {'; '.join(failed)}")
+    identities = [item.value for item in answers if item.value is not None]
+    names = [item.name for item in identities]
+    if len(set(names)) < len(names):
+        raise BadRequestError("two addresses lead to the same control instance")
+    return identities
+
+
+def repair(
+    ctx: typer.Context,
+    force: Annotated[
+        bool,
+        typer.Option(
+            "--force-membership",
+            help="Let the instances of --member alone form the agreement. "
+            "What only the others held is lost.",
+        ),
+    ] = False,
+    member: Annotated[
+        list[str] | None, typer.Option("--member", help="A control instance that remains.")
+    ] = None,
+    reason: Annotated[str, typer.Option(help="Why; kept on the time line.")] = "",
+) -> None:
+    """Explain the state of the control instances, or repair a lost majority.
+
+    Without options nothing is changed. A lost disk or a lost minority needs no
+    forcing: the instance joins again by itself.
+    """
+    session = session_of(ctx)
+    request = repair_request(force, tuple(member or ()), reason)
+    body = msgspec.json.encode(request)
+    api = session.api()
+    if request.action == ACTION_EXPLAIN:
+        reply = api.ask_any("POST", const.PATH_REPAIR, RepairReply, body)
+    else:
+        reply = api.ask(api.required_controls()[0], "POST", const.PATH_REPAIR, RepairReply, body)
+    if session.settings.as_json:
+        print_json(reply)
+        return
+    for line in (*reply.steps, reply.text):
+        if line:
+            typer.echo(line)
+
+
+def repair_request(force: bool, members: tuple[str, ...], reason: str) -> RepairRequest:
+    """Build the request; raise `BadRequestError` when the options do not go together."""
+    if not force:
+        if members or reason:
+            raise BadRequestError("--member and --reason need --force-membership")
+        return RepairRequest(ACTION_EXPLAIN)
+    if not members or not reason:
+        raise BadRequestError("--force-membership needs --member and --reason")
+    return RepairRequest(ACTION_FORCE, members, reason)
--- /dev/null
+++ b/packages/cli/src/spindle_cli/commands/timeline.py
@@ -0,0 +1,93 @@
+"""The commands `timeline` and `explain`."""
+
+import time
+from typing import Annotated
+
+import gevent
+import msgspec
+import typer
+
+from spindle_cli import const
+from spindle_cli.commands.options import session_of
+from spindle_cli.output import print_json, time_text
+from spindle_cli.processes import find_processes
+from spindle_cli.since import parse_since
+from spindle_cli.timeline_source import TimelineBatch, TimelineSource
+from spindle_decisions.exceptions import UnreachableError
+from spindle_decisions.timeline.event import Event
+from spindle_decisions.timeline.event_filter import EventFilter
+from spindle_decisions.timeline.story import describe, tell_story
+
+MS_PER_S = 1000
+
+
+def timeline(
+    ctx: typer.Context,
+    since: Annotated[
+        str, typer.Option(help="An age such as 10m, a time, or a stamp of an event.")
+    ] = "",
+    request: Annotated[str, typer.Option(help="Only events of this request id.")] = "",
+    note: Annotated[int, typer.Option(min=0, help="Only events of this note.")] = 0,
+    upstream: Annotated[str, typer.Option(help="Only events of this upstream.")] = "",
+    follow: Annotated[
+        bool, typer.Option("--follow", help="Go on with new events until interrupted.")
+    ] = False,
+) -> None:
+    """Show what all processes decided and saw, cause before effect.
+
+    Each process keeps a bounded number of events. Processes that could not be
+    asked, or that let old events go, are named on standard error.
+    """
+    session = session_of(ctx)
+    as_json = session.settings.as_json
+    wanted = EventFilter(parse_since(since, int(time.time() * MS_PER_S)), request, note, upstream)
+    api = session.api()
+    source = TimelineSource(api, find_processes(api), wanted)
+    told: set[str] = set()
+    while True:
+        batch = source.fetch()
+        if as_json and not follow:
+            print_json(batch)
+        else:
+            _print_events(batch.events, as_json)
+        _print_problems(batch, told)
+        if not follow:
+            return
+        gevent.sleep(const.FOLLOW_PERIOD_S)
+        source.processes = find_processes(api)
+
+
+def explain(
+    ctx: typer.Context,
+    request: Annotated[str, typer.Argument(help="The request id, as given in the answer.")],
+) -> None:
+    """Tell the story of one request in sentences."""
+    session = session_of(ctx)
+    api = session.api()
+    processes = find_processes(api)
+    batch = TimelineSource(api, processes, EventFilter(request_id=request)).fetch()
+    if not batch.events and len(batch.problems) >= len(processes.addresses()):
+        raise UnreachableError("; ".join(batch.problems))
+    story = tell_story(request, batch.events)
+    if session.settings.as_json:
+        print_json({"request_id": request, "story": story, "problems": batch.problems})
+        return
+    for sentence in story:
+        typer.echo(sentence)
+    _print_problems(batch, set())
+
+
+def _print_events(events: tuple[Event, ...], as_json: bool) -> None:
+    for event in events:
+        if as_json:
+            typer.echo(msgspec.json.encode(event).decode())
+        else:
+            about = f" [{event.request_id}]" if event.request_id else ""
+            typer.echo(f"{time_text(event.stamp.wall_ms)}  {describe(event)}{about}")
+
+
+def _print_problems(batch: TimelineBatch, told: set[str]) -> None:
+    for problem in batch.problems:
+        if problem not in told:
+            told.add(problem)
+            typer.echo(problem, err=True)
--- /dev/null
+++ b/packages/cli/src/spindle_cli/error_group.py
@@ -0,0 +1,27 @@
+"""The command group that turns errors into exit codes."""
+
+from typing import Any
+
+from typer.core import TyperGroup
+
+from spindle_cli.exit_code import exit_code_of
+from spindle_cli.output import print_error
+from spindle_cli.session import Session
+from spindle_decisions.exceptions import RemoteError, SpindleError
+
+
+class ErrorGroup(TyperGroup):
+    """Prints an error with its code and exits with the code that belongs to it."""
+
+    def invoke(self, ctx: Any) -> Any:
+        """Run a command."""
+        try:
+            return super().invoke(ctx)
+        except SpindleError as err:
+            winner = err.winner_digest if isinstance(err, RemoteError) else ""
+            print_error(err.code, str(err), _as_json(ctx), winner)
+            ctx.exit(int(exit_code_of(err)))
+
+
+def _as_json(ctx: Any) -> bool:
+    return isinstance(ctx.obj, Session) and ctx.obj.settings.as_json
--- /dev/null
+++ b/packages/cli/src/spindle_cli/page/__init__.py
@@ -0,0 +1,1 @@
+"""Rendering of the day's page."""
--- /dev/null
+++ b/packages/cli/src/spindle_cli/page/wording.py
@@ -0,0 +1,141 @@
+"""The words and numbers that all forms of the page share."""
+
+from spindle_decisions.account.day import clock_of_ms
+from spindle_decisions.account.day_page import DayPage
+from spindle_decisions.account.gap import Gap
+from spindle_decisions.account.group_page import GroupPage
+from spindle_decisions.account.instance_basis import InstanceBasis
+from spindle_decisions.account.named_count import NamedCount
+from spindle_decisions.account.page_window import PageWindow
+from spindle_decisions.account.percentile import Percentile
+from spindle_decisions.account.shares import percent_down, percent_up
+from spindle_decisions.account.verdicts import target_text
+
+US_PER_MS = 1000
+MAX_GAPS_SHOWN = 50
+MAX_SPANS_SHOWN = 6
+CAUSES = {
+    "hedges": "hedges",
+    "retries": "retries",
+    "restarts": "restarts on a new snapshot",
+    "cancelled": "cancelled work",
+    "probes": "probes",
+}
+
+
+def title(page: DayPage) -> str:
+    """Return the title of a page."""
+    window = page.window
+    if window.is_over():
+        return f"{window.day} ({window.timezone})"
+    until = clock_of_ms(window.asked_ms, window.offset_minutes)
+    return f"{window.day} ({window.timezone}), so far: up to {until}"
+
+
+def milliseconds(latency_us: int | None) -> str:
+    """Write a latency; `None` reads `never`."""
+    if latency_us is None:
+        return "never"
+    if latency_us < 10 * US_PER_MS:
+        return f"{latency_us / US_PER_MS:.1f} ms"
+    return f"{-(-latency_us // US_PER_MS):,} ms"
+
+
+def percentile_name(item: Percentile) -> str:
+    """Write the name of a percentile, as in `p99.9`."""
+    return f"p{item.percent:g}"
+
+
+def outcome_rows(group: GroupPage) -> list[tuple[str, str, str]]:
+    """Return how the requests ended: what, how many, share of all."""
+    target = target_text(group.target_min_ms, group.target_max_ms)
+    rows = [
+        (f"whole answer within {target}", group.answered, True),
+        ("whole answer, late", group.late, False),
+        (f"partial answer ({group.partial_late:,} of them late)", group.partial, False),
+    ]
+    rows.extend((f"refused: {item.name}", item.count, False) for item in group.refused)
+    rows.append(("outcome unknown", group.outcome_unknown, False))
+    rows.append(("caller gone before the end", group.caller_gone, False))
+    rows.append(("arrived, end not known", group.lost, False))
+    return [
+        (
+            name,
+            f"{count:,}",
+            percent_down(count, group.total) if good else percent_up(count, group.total),
+        )
+        for name, count, good in rows
+    ]
+
+
+def coverage_rows(group: GroupPage) -> list[tuple[str, str, str]]:
+    """Return the distribution of coverage, the worst first."""
+    asked = sum(item.count for item in group.coverage)
+    return [
+        (
+            item.name,
+            f"{item.count:,}",
+            (percent_down if item is group.coverage[-1] else percent_up)(item.count, asked),
+        )
+        for item in group.coverage
+    ]
+
+
+def missing_text(group: GroupPage) -> str:
+    """Name the services most often missing from answers."""
+    if not group.missing and not group.missing_other:
+        return "none"
+    named = [f"{item.name} {item.count:,}" for item in group.missing]
+    if group.missing_other:
+        named.append(f"others {group.missing_other:,}")
+    return ", ".join(named)
+
+
+def added_text(group: GroupPage) -> str:
+    """Write the load beyond the least needed, by cause."""
+    total = sum(item.count for item in group.added)
+    causes = ", ".join(f"{CAUSES[item.name]} {item.count:,}" for item in group.added)
+    if not group.needed:
+        return f"{total:,} sub-requests, with none needed ({causes})"
+    return f"{percent_up(total, group.needed)} of {group.needed:,} needed sub-requests ({causes})"
+
+
+def basis_text(group: GroupPage) -> str:
+    """Say which instances and how many of their minutes the figures rest on."""
+    parts = [f"{item.name} {item.count:,} min" for item in sorted(group.basis, key=_name_of)]
+    return f"minutes with requests: {', '.join(parts)}"
+
+
+def instance_text(item: InstanceBasis, window: PageWindow) -> str:
+    """Say for which stretches of the day an instance handed its counts over."""
+    spans = [
+        f"{_clock(span.from_ms, window)}-{_clock(span.to_ms, window)}"
+        for span in item.spans[:MAX_SPANS_SHOWN]
+    ]
+    if len(item.spans) > MAX_SPANS_SHOWN:
+        spans.append(f"and {len(item.spans) - MAX_SPANS_SHOWN} more stretches")
+    return f"{item.minutes:,} minutes: {', '.join(spans)}"
+
+
+def gap_text(gap: Gap, window: PageWindow) -> str:
+    """Write one gap."""
+    span = f"{_clock(gap.from_ms, window)}-{_clock(gap.to_ms, window)}"
+    return f"{gap.instance} {span}: {gap.reason}"
+
+
+def gap_lines(page: DayPage) -> list[str]:
+    """Write the gaps; beyond a bound only their number."""
+    lines = [gap_text(gap, page.window) for gap in page.gaps[:MAX_GAPS_SHOWN]]
+    if len(page.gaps) > MAX_GAPS_SHOWN:
+        lines.append(f"and {len(page.gaps) - MAX_GAPS_SHOWN} more gaps")
+    return lines
+
+
+def _clock(wall_ms: int, window: PageWindow) -> str:
+    if wall_ms == window.to_ms:
+        return "24:00:00"
+    return clock_of_ms(wall_ms, window.offset_minutes)
+
+
+def _name_of(item: NamedCount) -> str:
+    return item.name
--- /dev/null
+++ b/packages/cli/src/spindle_cli/processes.py
@@ -0,0 +1,57 @@
+"""Finding of all processes of a deployment."""
+
+import dataclasses
+
+from spindle_cli import const
+from spindle_cli.address import Address
+from spindle_cli.models.instance_row import InstanceRow
+from spindle_cli.operator_api import OperatorApi
+
+
+@dataclasses.dataclass(frozen=True)
+class Processes:
+    """The processes that some control instance knows, and who could not be asked."""
+
+    instances: tuple[InstanceRow, ...]
+    controls: tuple[Address, ...]
+    problems: tuple[str, ...]
+
+    def addresses(self) -> tuple[Address, ...]:
+        """Return the admin address of every process once, control instances first."""
+        known = [Address(item.admin_host, item.admin_port) for item in self.instances]
+        return tuple(dict.fromkeys((*self.controls, *known)))
+
+    def name_of(self, address: Address) -> str:
+        """Return the name of the process at an address, or the address."""
+        for item in self.instances:
+            if Address(item.admin_host, item.admin_port) == address:
+                return f"{item.instance} ({address})"
+        return str(address)
+
+
+def find_processes(api: OperatorApi) -> Processes:
+    """Ask every control instance which instances it knows, and join the answers.
+
+    Control instances that the others name are added to those given.
+    """
+    answers = api.ask_all(api.required_controls(), const.PATH_INSTANCES, tuple[InstanceRow, ...])
+    instances: dict[tuple[str, int], InstanceRow] = {}
+    for answer in answers:
+        for item in answer.value or ():
+            instances[(item.instance, item.incarnation)] = item
+    newest: dict[str, InstanceRow] = {}
+    for item in sorted(instances.values(), key=lambda row: (row.instance, row.incarnation)):
+        newest[item.instance] = item
+    found = tuple(newest.values())
+    controls = [
+        Address(item.admin_host, item.admin_port) for item in found if item.role == "control"
+    ]
+    return Processes(
+        instances=found,
+        controls=tuple(dict.fromkeys((*api.controls, *controls))),
+        problems=tuple(
+            f"{answer.address} could not be asked: {answer.error}"
+            for answer in answers
+            if answer.error is not None
+        ),
+    )
--- /dev/null
+++ b/packages/cli/src/spindle_cli/since.py
@@ -0,0 +1,35 @@
+"""Reading of the option `--since`."""
+
+import datetime
+import re
+
+from spindle_decisions.exceptions import BadRequestError
+from spindle_decisions.timeline.hlc_stamp import HlcStamp
+from spindle_decisions.timeline.stamp_text import parse_stamp
+
+MS_PER_S = 1000
+MS_PER_UNIT = {"s": 1000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
+AGE_PATTERN = re.compile(r"([0-9]{1,9})([smhd])")
+
+
+def parse_since(text: str, now_ms: int) -> HlcStamp:
+    """Read an age, a time or a stamp; an empty text means from the beginning.
+
+    Known forms are `10m` (also s, h, d), `2026-12-04T14:00:00+01:00` (UTC
+    without an offset) and a stamp as the time line prints it in JSON,
+    `1764856800000.3`. Raises `BadRequestError` for anything else.
+    """
+    if not text:
+        return HlcStamp(0, 0)
+    age = AGE_PATTERN.fullmatch(text)
+    if age is not None:
+        return HlcStamp(max(0, now_ms - int(age[1]) * MS_PER_UNIT[age[2]]), 0)
+    if text[0].isdecimal() and "-" not in text:
+        return parse_stamp(text)
+    try:
+        moment = datetime.datetime.fromisoformat(text)
+    except ValueError:
+        raise BadRequestError(f"--since is {text!r}, expected 10m, a time or a stamp") from None
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.UTC)
+    return HlcStamp(int(moment.timestamp() * MS_PER_S), 0)
--- /dev/null
+++ b/packages/cli/src/spindle_cli/timeline_source.py
@@ -0,0 +1,65 @@
+"""Fetching of the time lines of all processes."""
+
+import dataclasses
+import urllib.parse
+
+from spindle_cli import const
+from spindle_cli.address import Address
+from spindle_cli.operator_api import OperatorApi
+from spindle_cli.processes import Processes
+from spindle_decisions.timeline.event import Event
+from spindle_decisions.timeline.event_filter import EventFilter
+from spindle_decisions.timeline.hlc_stamp import HlcStamp
+from spindle_decisions.timeline.merge import merge_events
+from spindle_decisions.timeline.stamp_text import format_stamp
+from spindle_decisions.timeline.timeline_reply import TimelineReply
+
+
+@dataclasses.dataclass(frozen=True)
+class TimelineBatch:
+    """Merged events, and in sentences what may be missing from them."""
+
+    events: tuple[Event, ...]
+    problems: tuple[str, ...]
+
+
+class TimelineSource:
+    """Asks all processes, and on later calls only for what is new."""
+
+    def __init__(self, api: OperatorApi, processes: Processes, wanted: EventFilter) -> None:
+        self.api = api
+        self.processes = processes
+        self.wanted = wanted
+        self.seen: dict[Address, HlcStamp] = {}
+
+    def fetch(self) -> TimelineBatch:
+        """Return the events since the last call, cause before effect."""
+        requests = [(address, self._path(address)) for address in self.processes.addresses()]
+        replies: list[TimelineReply] = []
+        problems: list[str] = list(self.processes.problems)
+        for answer in self.api.ask_each(requests, TimelineReply):
+            if answer.value is None:
+                name = self.processes.name_of(answer.address)
+                problems.append(f"{name} could not be asked: {answer.error}")
+                continue
+            replies.append(answer.value)
+            problems.extend(self._forgotten(answer.value))
+            if answer.value.events:
+                self.seen[answer.address] = answer.value.events[-1].stamp
+        return TimelineBatch(merge_events(replies), tuple(dict.fromkeys(problems)))
+
+    def _forgotten(self, reply: TimelineReply) -> list[str]:
+        if not reply.dropped or self.wanted.after.wall_ms >= reply.oldest_ms:
+            return []
+        return [f"{reply.instance} no longer holds its {reply.dropped} oldest events"]
+
+    def _path(self, address: Address) -> str:
+        after = self.seen.get(address, self.wanted.after)
+        arguments = {
+            "since": format_stamp(after) if after.wall_ms else "",
+            "request": self.wanted.request_id,
+            "note": str(self.wanted.note) if self.wanted.note else "",
+            "upstream": self.wanted.upstream,
+        }
+        query = urllib.parse.urlencode({key: value for key, value in arguments.items() if value})
+        return f"{const.PATH_TIMELINE}?{query}" if query else const.PATH_TIMELINE
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/timeline/phrases.py
@@ -0,0 +1,37 @@
+"""How each kind of event reads in a sentence."""
+
+from spindle_decisions.timeline.event_kind import EventKind
+
+PHRASES: dict[EventKind, str] = {
+    EventKind.PROCESS_STARTED: "started",
+    EventKind.PROCESS_STOPPING: "began a planned stop",
+    EventKind.REQUEST_ARRIVED: "received the request",
+    EventKind.REQUEST_FINISHED: "finished the request",
+    EventKind.SNAPSHOT_PINNED: "pinned the snapshot",
+    EventKind.QUERY_RESTARTED: "started the query again",
+    EventKind.HEDGE_SENT: "sent a hedge",
+    EventKind.RETRY_SENT: "sent a retry",
+    EventKind.ATTEMPT_FAILED: "saw an attempt fail",
+    EventKind.REPLICA_EJECTED: "ejected a replica",
+    EventKind.REPLICA_RESTORED: "restored a replica",
+    EventKind.LIMIT_CHANGED: "changed its limit",
+    EventKind.SHARE_CHANGED: "changed its share of connections",
+    EventKind.DRAIN_SEEN: "saw a drain",
+    EventKind.CLAIM_GRANTED: "was granted the claim to run it",
+    EventKind.CLAIM_REFUSED: "was refused the claim to run it",
+    EventKind.OUTCOME_RECORDED: "recorded the outcome",
+    EventKind.LEADER_ELECTED: "became leader",
+    EventKind.LEADER_LOST: "stopped leading",
+    EventKind.MEMBERS_CHANGED: "changed the control membership",
+    EventKind.NOTE_ACCEPTED: "accepted a release note",
+    EventKind.NOTE_REFUSED: "refused a release note",
+    EventKind.CONFIG_TAKEN: "took a configuration into force",
+    EventKind.NOTE_IN_FORCE: "confirmed a note in force everywhere",
+    EventKind.CONTROL_MOVED: "moved to another control instance",
+    EventKind.CONTROL_STALE: "found its control instance stale",
+    EventKind.REPAIR_STEP: "did a step of a repair",
+    EventKind.SYNC_SLOW: "saw a slow sync",
+    EventKind.FRAME_DROPPED: "dropped a frame",
+    EventKind.INSTANCE_SUSPECTED: "suspected an instance",
+    EventKind.INSTANCE_LEFT: "was told that an instance left",
+}
--- /dev/null
+++ b/tests/decisions/timeline/test_merge.py
@@ -0,0 +1,123 @@
+"""Tests of the merged time line."""
+
+import unittest
+
+from nose2.tools import params
+
+from spindle_decisions.exceptions import BadRequestError
+from spindle_decisions.timeline.event import Event
+from spindle_decisions.timeline.event_filter import EventFilter
+from spindle_decisions.timeline.event_kind import EventKind
+from spindle_decisions.timeline.event_ring import EventRing
+from spindle_decisions.timeline.hlc_stamp import HlcStamp
+from spindle_decisions.timeline.hybrid_clock import HybridClock
+from spindle_decisions.timeline.merge import merge_events
+from spindle_decisions.timeline.phrases import PHRASES
+from spindle_decisions.timeline.stamp_text import format_stamp, parse_stamp
+from spindle_decisions.timeline.story import tell_story
+
+
+class Process:
+    """A process with a wall clock of its own that writes events and sends messages."""
+
+    def __init__(self, name: str, skew_ms: int) -> None:
+        self.now_ms = 1_000_000 + skew_ms
+        self.clock = HybridClock(lambda: self.now_ms)
+        self.ring = EventRing(name)
+
+    def note(self, text: str) -> None:
+        event = Event(self.clock.tick(), self.ring.instance, EventKind.RETRY_SENT, text)
+        self.ring.append(event)
+
+    def send_to(self, other: "Process") -> None:
+        other.clock.observe(self.clock.tick())
+
+
+class TestMerge(unittest.TestCase):
+    @params((0, 0), (600_000, 0), (0, 600_000), (-300_000, 300_000))
+    def test_cause_stands_before_effect(self, first_skew: int, second_skew: int) -> None:
+        first, second = Process("a", first_skew), Process("b", second_skew)
+        expected = []
+        for index in range(6):
+            sender, receiver = (first, second) if index % 2 == 0 else (second, first)
+            sender.note(str(index))
+            expected.append(str(index))
+            sender.send_to(receiver)
+        first.now_ms += 5
+        merged = merge_events([second.ring.select(EventFilter()), first.ring.select(EventFilter())])
+        self.assertEqual([event.reason for event in merged], expected)
+
+    def test_a_process_that_answers_twice_counts_once(self) -> None:
+        process = Process("a", 0)
+        process.note("once")
+        reply = process.ring.select(EventFilter())
+        self.assertEqual(len(merge_events([reply, reply])), 1)
+
+
+class TestRing(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ring = EventRing("a", capacity=3)
+
+    def fill(self, *events: Event) -> None:
+        for event in events:
+            self.ring.append(event)
+
+    def event(self, wall_ms: int, **fields: object) -> Event:
+        return Event(HlcStamp(wall_ms, 0), "a", EventKind.HEDGE_SENT, **fields)  # type: ignore[arg-type]
+
+    def test_a_full_ring_lets_the_oldest_go_and_counts_it(self) -> None:
+        self.fill(*(self.event(wall_ms) for wall_ms in range(1, 6)))
+        reply = self.ring.select(EventFilter())
+        self.assertEqual([event.stamp.wall_ms for event in reply.events], [3, 4, 5])
+        self.assertEqual((reply.dropped, reply.oldest_ms), (2, 3))
+
+    @params(
+        (EventFilter(after=HlcStamp(1, 0)), [2, 3]),
+        (EventFilter(request_id="r"), [2]),
+        (EventFilter(note=7), [3]),
+        (EventFilter(upstream="u"), [1]),
+        (EventFilter(upstream="u", request_id="r"), []),
+    )
+    def test_filters(self, wanted: EventFilter, expected: list[int]) -> None:
+        self.fill(self.event(1, upstream="u"), self.event(2, request_id="r"), self.event(3, note=7))
+        found = [event.stamp.wall_ms for event in self.ring.select(wanted).events]
+        self.assertEqual(found, expected)
+
+    def test_a_limited_reply_continues_after_its_last_stamp(self) -> None:
+        self.fill(*(self.event(wall_ms) for wall_ms in (1, 2, 3)))
+        seen: list[int] = []
+        after = HlcStamp(0, 0)
+        while events := self.ring.select(EventFilter(after=after), limit=2).events:
+            seen.extend(event.stamp.wall_ms for event in events)
+            after = events[-1].stamp
+        self.assertEqual(seen, [1, 2, 3])
+
+
+class TestStampText(unittest.TestCase):
+    def test_a_stamp_survives_its_text(self) -> None:
+        stamp = HlcStamp(1_764_856_800_000, 3)
+        self.assertEqual(parse_stamp(format_stamp(stamp)), stamp)
+
+    def test_milliseconds_alone_include_that_millisecond(self) -> None:
+        self.assertLess(parse_stamp("5"), HlcStamp(5, 0))
+
+    @params("", "x", "5.", ".5", "5.x", "²", "9" * 30)
+    def test_anything_else_is_refused(self, text: str) -> None:
+        with self.assertRaises(BadRequestError):
+            parse_stamp(text)
+
+
+class TestStory(unittest.TestCase):
+    def test_only_the_request_is_told_and_open_ends_are_said(self) -> None:
+        events = (
+            Event(HlcStamp(10, 0), "a", EventKind.REQUEST_ARRIVED, request_id="r"),
+            Event(HlcStamp(11, 0), "a", EventKind.HEDGE_SENT, request_id="other"),
+            Event(HlcStamp(15, 0), "a", EventKind.HEDGE_SENT, "slow", "r", 0, "u-1", "s-1"),
+        )
+        story = tell_story("r", events)
+        self.assertEqual(len(story), 3)
+        self.assertIn("+5 ms  a sent a hedge at upstream u-1 for service s-1: slow.", story[1])
+        self.assertIn("end is not remembered", story[2])
+
+    def test_every_kind_has_a_phrase(self) -> None:
+        self.assertEqual(set(PHRASES), set(EventKind))
