--- a/bench/experiments/capacity/batch_trial.py
+++ b/bench/experiments/capacity/batch_trial.py
@@ -1,5 +1,7 @@
 """Costs of a batched tree between instances: codec, merge and frames."""
 
+from functools import partial
+
 import gevent
 import msgspec
 import pynng
@@ -49,7 +51,7 @@
             rows.append(answer.rows)
         return encoder.encode(BatchedAnswer(7, covered, (), b"".join(rows)))
 
-    costs = [cpu_us(lambda: merge(size), max(1, repeats // size)) for size in MERGE_SIZES]
+    costs = [cpu_us(partial(merge, size), max(1, repeats // size)) for size in MERGE_SIZES]
     return fit("us per query, by sub-answers", MERGE_SIZES, costs)
 
 
@@ -80,7 +82,6 @@
                 except pynng.TryAgain:
                     gevent.socket.wait_read(inbox.recv_fd)
 
-        costs = [
-            cpu_us(lambda: pass_on(b"x" * size), max(1, repeats // 10)) for size in FRAME_BYTES
-        ]
+        frames = [b"x" * size for size in FRAME_BYTES]
+        costs = [cpu_us(partial(pass_on, frame), max(1, repeats // 10)) for frame in frames]
     return fit("us per frame sent and received, by bytes", FRAME_BYTES, costs)
