--- a/bench/experiments/serving/load_totals.py
+++ b/bench/experiments/serving/load_totals.py
@@ -13,16 +13,24 @@
 def upstream_totals(
     before: Mapping[str, Counters], after: Mapping[str, Counters]
 ) -> dict[str, int]:
-    """Return the growth of each counter, summed over the upstreams."""
+    """Return the growth of each counter, summed over the upstreams.
+
+    An upstream that was killed counts from its new start; what it did before is lost.
+    """
     return {
-        name: sum(
-            getattr(now, name) - (getattr(before[key], name) if key in before else 0)
-            for key, now in after.items()
-        )
+        name: sum(_growth(name, before.get(key), now) for key, now in after.items())
         for name in (*_SUMMED, *_REFUSED)
     }
 
 
+def _growth(name: str, before: Counters | None, now: Counters) -> int:
+    value: int = getattr(now, name)
+    if before is None or now.arrived < before.arrived:
+        return value
+    earlier: int = getattr(before, name)
+    return value - earlier
+
+
 def added_load_ratio(arrived: int, records: Sequence[QueryRecord]) -> float:
     """Return sub-requests that arrived at upstreams over the least needed, less 1.
 
--- a/bench/experiments/serving/upstream_fault.py
+++ b/bench/experiments/serving/upstream_fault.py
@@ -16,6 +16,7 @@
 from bench.experiments.serving.fault_killed import FaultKilled
 from bench.experiments.serving.fault_lying import FaultLying
 from bench.experiments.serving.fault_none import FaultNone
+from bench.experiments.serving.load_totals import added_load_ratio, upstream_totals
 from bench.experiments.serving.serving_arm import ServingArm, arms_without
 from bench.experiments.serving.serving_deployment import ServingDeployment
 from bench.experiments.serving.serving_run import (
@@ -89,7 +90,7 @@
     def run() -> Figures:
         with serving(context, arm, workload) as deployment:
             warm_up(context, workload, deployment)
-            cpu = CpuUse(deployment)
+            before, cpu = deployment.counters(), CpuUse(deployment)
             figures: Figures = {}
             records: list[QueryRecord] = []
             for fault in _faults(context, arm):
@@ -98,6 +99,9 @@
                 records.extend(found)
             figures.update(load_figures(records))
             figures.update(cpu.figures())
+            totals = upstream_totals(before, deployment.counters())
+            figures["added_load_ratio"] = added_load_ratio(totals["arrived"], records)
+            figures["upstreams"] = totals
             figures["settings"] = settings_of(arm, workload)
             return figures
 
