Prove the command line against fake control instances that lose answers

The fake cuts the connection after the request was read, so the client has to tell a lost answer (may be accepted) from no connection (certainly not).

--- a/packages/cli/src/spindle_cli/commands/drain.py
+++ b/packages/cli/src/spindle_cli/commands/drain.py
@@ -20,7 +20,6 @@
 CODE_NUMBER_NOT_NEXT = "note-number-not-next"
 NUMBER_RACE = frozenset({NoteConflictError.code, CODE_NUMBER_NOT_NEXT})
 AUTHOR_CHARS = 64
-ID_CHARS = 12
 
 Upstream = Annotated[str, typer.Argument(help="The name of the upstream.")]
 Wait = Annotated[float, typer.Option("--wait", min=1, help="Seconds to try in all.")]
@@ -58,7 +57,7 @@
     note that lost is certainly not applied. An unknown outcome is not.
     """
     deadline = time.monotonic() + wait_s
-    note_id = f"drain-{uuid.uuid4().hex[:ID_CHARS]}"
+    note_id = str(uuid.uuid4())
     author = getpass.getuser()[:AUTHOR_CHARS]
     while (left := deadline - time.monotonic()) > 0:
         number = next_number(api)
--- /dev/null
+++ b/tests/cli/test_views.py
@@ -0,0 +1,152 @@
+"""Tests of the commands that join the answers of many processes."""
+
+import json
+import unittest
+import zoneinfo
+
+from nose2.tools import params
+
+from spindle_cli.day_window import day_window
+from spindle_cli.since import parse_since
+from spindle_decisions.account.minute_counter import MinuteCounter
+from spindle_decisions.account.minute_summary import encode_summary
+from spindle_decisions.account.summaries_reply import SummariesReply
+from spindle_decisions.timeline.event import Event
+from spindle_decisions.timeline.event_kind import EventKind
+from spindle_decisions.timeline.hlc_stamp import HlcStamp
+from spindle_decisions.timeline.timeline_reply import TimelineReply
+from tests.cli.common import CliTestCase, FakeControl, Lost
+from tests.decisions.account.common import record
+
+DAY_START_MS = 1_764_806_400_000
+DAY = "2025-12-04"
+
+
+def reply(control: str, *minutes: bytes) -> object:
+    return lambda _body, query: SummariesReply(
+        control, DAY, 0, minutes if query.endswith("hour=0") and DAY in query else ()
+    )
+
+
+def raising(_body: bytes, _query: str) -> object:
+    raise Lost
+
+
+class TestPage(CliTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        account = MinuteCounter("entry-a", 1, "rennes-a", lambda _name: True, DAY_START_MS)
+        account.arrived("comptoir")
+        self.early = encode_summary(account.checkpoint())
+        account.finished(record())
+        self.late = encode_summary(account.close(DAY_START_MS + 2_000))
+
+    def page(self, *arguments: str) -> str:
+        result = self.run_cli("page", "--day", DAY, *arguments)
+        self.assertEqual(result.exit_code, 0, result.output)
+        return result.stdout
+
+    def test_the_answers_of_all_control_instances_are_joined(self) -> None:
+        self.first.on("GET /v1/summaries", reply("control-a", self.early, self.late))
+        self.second.on("GET /v1/summaries", reply("control-b", self.late, self.early))
+        built = json.loads(self.page("--format", "json"))
+        self.assertEqual((built["gaps"], built["problems"]), ([], []))
+        group = built["groups"][0]
+        self.assertEqual((group["arrived"], group["total"], group["verdict"]), (1, 1, "good"))
+
+    def test_a_control_instance_without_an_answer_is_named(self) -> None:
+        self.first.on("GET /v1/summaries", reply("control-a", self.late))
+        self.second.on("GET /v1/summaries", raising)
+        text = self.page()
+        self.assertIn("INCOMPLETE", text)
+        self.assertIn("summaries of control-b", text)
+
+    def test_a_member_without_an_address_is_named(self) -> None:
+        member = {"name": "control-c", "folder_id": "f", "voter": True}
+        for control in (self.first, self.second):
+            control.on("GET /v1/summaries", reply(control.name, self.late))
+            control.on("GET /v1/members", lambda _body, _query: [member])
+        self.assertIn("control-c was not asked", self.page())
+
+    def test_the_html_page_needs_nothing_else(self) -> None:
+        for control in (self.first, self.second):
+            control.on("GET /v1/summaries", reply(control.name, self.late))
+        path = self.folder / "page.html"
+        self.page("--format", "html", "--output", str(path))
+        text = path.read_text()
+        self.assertEqual(text.count("<svg"), 4)
+        for forbidden in ("<script", "<link", "<img", "@import", "src="):
+            self.assertNotIn(forbidden, text)
+
+
+class TestTimeline(CliTestCase):
+    def lines(self, control: FakeControl, *walls: int, dropped: int = 0) -> None:
+        events = tuple(
+            Event(HlcStamp(wall, 0), control.name, EventKind.REQUEST_ARRIVED, request_id="r-1")
+            for wall in walls
+        )
+        answer = TimelineReply(control.name, events, dropped, walls[0])
+        control.on("GET /v1/timeline", lambda _body, _query: answer)
+
+    def test_all_processes_are_merged(self) -> None:
+        self.lines(self.first, 10, 30)
+        self.lines(self.second, 20)
+        result = self.run_cli("--json", "timeline")
+        walls = [event["stamp"]["wall_ms"] for event in json.loads(result.stdout)["events"]]
+        self.assertEqual(walls, [10, 20, 30])
+
+    def test_who_could_not_be_asked_and_what_was_let_go_is_said(self) -> None:
+        self.lines(self.first, 10, dropped=5)
+        self.second.on("GET /v1/timeline", raising)
+        result = self.run_cli("timeline")
+        self.assertEqual(result.exit_code, 0)
+        self.assertIn("control-b", result.stderr)
+        self.assertIn("control-a no longer holds its 5 oldest events", result.stderr)
+
+    def test_explain_tells_the_story(self) -> None:
+        self.lines(self.first, 10)
+        self.lines(self.second, 20)
+        result = self.run_cli("explain", "r-1")
+        self.assertIn("+10 ms  control-b received the request.", result.stdout)
+
+
+class TestStatus(CliTestCase):
+    def test_a_stale_control_instance_is_not_gone_by(self) -> None:
+        center = {"data_center": "rennes-a", "version": 3, "instances": 2, "in_force": False}
+        center["unconfirmed"] = ["entry-b"]
+        base = {"role": "leader", "term": 2, "leader": "x", "digest": "d", "quorum_age_ms": 0}
+        for control, version, stale in ((self.first, 4, False), (self.second, 9, True)):
+            value = {**base, "control": control.name, "version": version, "stale": stale}
+            value["data_centers"] = [center]
+            control.on("GET /v1/status", lambda _body, _query, value=value: value)
+        result = self.run_cli("status")
+        self.assertIn("version 4 accepted", result.stdout)
+        self.assertIn("entry-b", result.stdout)
+        self.assertIn("stale", result.stdout)
+
+
+class TestDayWindow(unittest.TestCase):
+    @params(
+        ("UTC", DAY, 24, 0),
+        ("Asia/Ho_Chi_Minh", DAY, 24, 420),
+        ("Europe/Paris", "2025-10-26", 25, 120),
+        ("Europe/Paris", "2025-03-30", 23, 60),
+    )
+    def test_a_day_has_the_length_of_the_calendar(
+        self, zone: str, day: str, hours: int, offset: int
+    ) -> None:
+        window = day_window(day, zoneinfo.ZoneInfo(zone), DAY_START_MS + 10**9)
+        self.assertEqual((window.to_ms - window.from_ms) // 3_600_000, hours)
+        self.assertEqual(window.offset_minutes, offset)
+
+
+class TestSince(unittest.TestCase):
+    @params(
+        ("", 0),
+        ("10m", 400_000),
+        ("1970-01-01T00:00:07", 7_000),
+        ("1970-01-01T01:00:07+01:00", 7_000),
+        ("5000.3", 5_000),
+    )
+    def test_forms(self, text: str, expected: int) -> None:
+        self.assertEqual(parse_since(text, 1_000_000).wall_ms, expected)
