--- a/bench/caller.py
+++ b/bench/caller.py
@@ -1,14 +1,11 @@
 """A caller of the tier, for tests and the demonstration."""
 
-import time
 from typing import Any
 
 import msgspec
-from geventhttpclient import HTTPClient
 
-from bench.ports import LOOPBACK
+from bench.http_exchange import exchange
 from spindle_decisions.wire.headers import (
-    HEADER_CODE,
     HEADER_DEADLINE_MS,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_MIN_COVERAGE,
@@ -51,18 +48,5 @@
 
     def post(self, path: str, body: bytes, headers: dict[str, str]) -> CallerAnswer:
         """Send a POST; raises `OSError` when the entry cannot be reached."""
-        client = HTTPClient(
-            LOOPBACK,
-            self.port,
-            connection_timeout=self.timeout_s,
-            network_timeout=self.timeout_s,
-        )
-        started = time.monotonic()
-        try:
-            response = client.request("POST", path, body=body, headers=headers)
-            data = bytes(response.read())
-        finally:
-            client.close()
-        took_s = time.monotonic() - started
-        code = response.get(HEADER_CODE) or ""
-        return CallerAnswer(response.status_code, code, msgspec.json.decode(data), took_s)
+        done = exchange(self.port, "POST", path, body, headers, self.timeout_s)
+        return CallerAnswer(done.status, done.code, msgspec.json.decode(done.data), done.took_s)
--- /dev/null
+++ b/bench/experiments/control/note_timing.py
@@ -0,0 +1,52 @@
+"""Timing of release notes from the operator's request to force at every entry."""
+
+import time
+
+import gevent
+
+from bench import files
+from bench.deployment import Deployment
+
+MS_PER_S = 1000
+POLL_S = 0.02
+SPREAD_TIMEOUT_S = 60.0
+CLIENT_TIMEOUT_S = 2.0
+
+
+def apply_and_time(deployment: Deployment, number: int, controls: list[str]) -> float:
+    """Apply a note and return the milliseconds until the last entry took it.
+
+    The note is resent to the next control instance while answers are lost. The
+    entries' own time lines tell when each took the version; all processes
+    share one wall clock.
+    """
+    note = files.small_note(number, 100 + number % 1000)
+    started_ms = time.time() * MS_PER_S
+    deadline = time.monotonic() + SPREAD_TIMEOUT_S
+    attempt = 0
+    while not _accepted(deployment, note, controls[attempt % len(controls)]):
+        attempt += 1
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"note {number} was not accepted")
+    names = [entry.name for entry in deployment.plan.entries]
+    taken = [_taken_at(deployment, name, number, deadline) for name in names]
+    return max(taken) - started_ms
+
+
+def _accepted(deployment: Deployment, note: str, control: str) -> bool:
+    try:
+        answer = deployment.operator(control, CLIENT_TIMEOUT_S).post("/v1/notes", note.encode())
+    except OSError:
+        gevent.sleep(POLL_S)
+        return False
+    return answer.status == 200
+
+
+def _taken_at(deployment: Deployment, entry: str, number: int, deadline: float) -> float:
+    while time.monotonic() < deadline:
+        answer = deployment.operator(entry).get(f"/v1/timeline?note={number}")
+        for event in answer.body["events"]:
+            if event["kind"] == "config-taken":
+                return float(event["stamp"]["wall_ms"])
+        gevent.sleep(POLL_S)
+    raise TimeoutError(f"{entry} never took version {number}")
--- /dev/null
+++ b/bench/experiments/control/swarm.py
@@ -0,0 +1,44 @@
+"""A process with many entry-side control links, as stand-ins for entry instances."""
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+import pathlib  # noqa: E402
+import random  # noqa: E402
+from typing import Annotated  # noqa: E402
+
+import gevent  # noqa: E402
+import typer  # noqa: E402
+
+from bench.deployment import KEY  # noqa: E402
+from spindle_daemon.components import control_link, timeline  # noqa: E402
+from spindle_daemon.core.clock import SystemClock  # noqa: E402
+from spindle_daemon.core.spindle import Spindle  # noqa: E402
+from spindle_daemon.mesh.transport import Transport  # noqa: E402
+from spindle_daemon.settings.loader import load_settings  # noqa: E402
+from spindle_decisions.timeline.hybrid_clock import HybridClock  # noqa: E402
+from spindle_decisions.wire.frame_codec import FrameCodec  # noqa: E402
+
+START_GAP_S = 0.005
+
+
+def main(folder: Annotated[pathlib.Path, typer.Option(help="Folder of settings files.")]) -> None:
+    """Run one control link for each settings file in a folder, until killed."""
+    clock = SystemClock()
+    for path in sorted(folder.glob("*.ini")):
+        settings = load_settings(path)
+        hybrid = HybridClock(clock.wall_ms)
+        spindle = Spindle(settings, clock, random.Random(), clock.wall_ms())
+        spindle.transport = Transport(
+            settings.instance.name, settings.mesh.listen, FrameCodec(KEY), hybrid
+        )
+        timeline.setup(spindle, hybrid)
+        control_link.setup(spindle)
+        spindle.transport.start()
+        gevent.sleep(START_GAP_S)
+    gevent.sleep(float("inf"))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/bench/fault_links.py
+++ b/bench/fault_links.py
@@ -3,16 +3,15 @@
 import dataclasses
 
 import msgspec
-from geventhttpclient import HTTPClient
 
 from bench.deployment import Deployment
 from bench.files import render_ini
+from bench.http_exchange import exchange
 from bench.plan import DeploymentPlan
 from bench.ports import LOOPBACK, free_ports
 from bench.process import Process
 
 PATH_LINKS = "/v1/links"
-PROXY_TIMEOUT_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,14 +81,9 @@
         self._post({"cut_forward": False, "cut_backward": False, "reset": True})
 
     def _post(self, change: dict[str, object]) -> bool:
-        client = HTTPClient(LOOPBACK, self.admin_port, network_timeout=PROXY_TIMEOUT_S)
-        try:
-            response = client.request("POST", PATH_LINKS, body=msgspec.json.encode(change))
-            response.read()
-            if response.status_code != 200:
-                raise RuntimeError(f"fault proxy answered {response.status_code}")
-        finally:
-            client.close()
+        done = exchange(self.admin_port, "POST", PATH_LINKS, msgspec.json.encode(change))
+        if done.status != 200:
+            raise RuntimeError(f"fault proxy answered {done.status}")
         return True
 
 
--- a/bench/files.py
+++ b/bench/files.py
@@ -84,6 +84,12 @@
     return render_ini(sections)
 
 
+def small_note(number: int, target_ms: int, group: str = "comptoir") -> str:
+    """Return a release note that changes the target latency of a group."""
+    change = {f"changed group {group}": {"target-ms": str(target_ms)}}
+    return render_ini({"note": note_head(number), **change})
+
+
 def note_head(number: int, author: str = "bench") -> Section:
     """Return the head section of a release note."""
     return {"number": str(number), "id": str(uuid.uuid4()), "author": author}
--- a/bench/operator_client.py
+++ b/bench/operator_client.py
@@ -4,9 +4,8 @@
 from typing import Any
 
 import msgspec
-from geventhttpclient import HTTPClient
 
-from bench.ports import LOOPBACK
+from bench.http_exchange import DEFAULT_TIMEOUT_S, exchange
 from spindle_decisions.wire.headers import HEADER_SIGNATURE, HEADER_SIGNED_AT
 from spindle_decisions.wire.request_signature import sign_request
 
@@ -23,7 +22,7 @@
 class OperatorClient:
     """Asks the admin endpoint of one process."""
 
-    def __init__(self, port: int, key: bytes, timeout_s: float = 10.0) -> None:
+    def __init__(self, port: int, key: bytes, timeout_s: float = DEFAULT_TIMEOUT_S) -> None:
         self.port = port
         self.key = key
         self.timeout_s = timeout_s
@@ -43,15 +42,5 @@
             HEADER_SIGNED_AT: str(signed_at),
             HEADER_SIGNATURE: sign_request(self.key, method, path, signed_at, body),
         }
-        client = HTTPClient(
-            LOOPBACK,
-            self.port,
-            connection_timeout=self.timeout_s,
-            network_timeout=self.timeout_s,
-        )
-        try:
-            response = client.request(method, path, body=body, headers=headers)
-            data = bytes(response.read())
-            return OperatorAnswer(response.status_code, msgspec.json.decode(data))
-        finally:
-            client.close()
+        done = exchange(self.port, method, path, body, headers, self.timeout_s)
+        return OperatorAnswer(done.status, msgspec.json.decode(done.data))
--- /dev/null
+++ b/bench/process_meter.py
@@ -0,0 +1,33 @@
+"""Processor time and memory of running processes."""
+
+import dataclasses
+import os
+import pathlib
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+FIELD_UTIME = 11
+FIELD_STIME = 12
+BYTES_PER_KB = 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class ProcessUse:
+    """What a process has used: processor seconds since its start, resident bytes now."""
+
+    cpu_s: float
+    resident_bytes: int
+
+
+def process_use(pid: int) -> ProcessUse:
+    """Read what a process has used; raises `OSError` when it does not run."""
+    folder = pathlib.Path("/proc") / str(pid)
+    fields = (folder / "stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[FIELD_UTIME]) + int(fields[FIELD_STIME])
+    return ProcessUse(ticks / TICKS_PER_S, _resident(folder / "status"))
+
+
+def _resident(path: pathlib.Path) -> int:
+    for line in path.read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * BYTES_PER_KB
+    return 0
--- a/packages/daemon/src/spindle_daemon/components/control/operator_api.py
+++ b/packages/daemon/src/spindle_daemon/components/control/operator_api.py
@@ -83,6 +83,7 @@
         app.route("GET", "/v1/status", self.status)
         app.route("GET", "/v1/members", self.members)
         app.route("GET", "/v1/instances", self.instances)
+        app.route("GET", "/v1/reports", self.reports)
         app.route("GET", "/v1/identity", self.identity)
         app.route("POST", "/v1/bootstrap", self.bootstrap)
 
@@ -128,6 +129,10 @@
         """List all instances with their admin addresses."""
         return json_ok((self.registry.self_entry(), *self.registry.table.live()))
 
+    def reports(self, _request: AdminRequest) -> JsonResponse:
+        """List all entry instances with the configuration that each confirmed."""
+        return json_ok(self.registry.table.reports(self.spindle.clock.now()))
+
     def identity(self, _request: AdminRequest) -> JsonResponse:
         """Tell who this control instance is."""
         node = self.driver.node
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/process_metrics/const.py
@@ -0,0 +1,12 @@
+"""Names of the metrics of a process and the period of its loop watch."""
+
+LOOP_WATCH_PERIOD_S = 0.01
+METRIC_FRAMES = "spindle_mesh_frames"
+METRIC_BYTES = "spindle_mesh_bytes"
+METRIC_BAD_FRAMES = "spindle_mesh_bad_frames"
+METRIC_DROPPED = "spindle_mesh_dropped_frames"
+METRIC_STALL = "spindle_loop_longest_stall_seconds"
+METRIC_CONFIG_VERSION = "spindle_config_version"
+METRIC_CONFIG_AGE = "spindle_config_age_seconds"
+LABEL_DIRECTION = "direction"
+LABEL_CAUSE = "cause"
--- a/packages/daemon/src/spindle_daemon/daemon.py
+++ b/packages/daemon/src/spindle_daemon/daemon.py
@@ -8,9 +8,10 @@
 from gevent.event import Event
 
 from spindle_daemon.components import account as account_component
-from spindle_daemon.components import admin, control, control_link, timeline
+from spindle_daemon.components import admin, control, control_link, process_metrics, timeline
 from spindle_daemon.components import entry_http as entry_http_component
 from spindle_daemon.components import serving as serving_component
+from spindle_daemon.components.account.folder_sink import FolderSink
 from spindle_daemon.core.clock import SystemClock
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.mesh.transport import Transport
@@ -37,6 +38,7 @@
     )
     timeline.setup(spindle, hybrid)
     spindle.transport.on_bad_frame = lambda err: _note_bad_frame(spindle, err)
+    process_metrics.setup(spindle)
     _setup_role(spindle, key)
     spindle.transport.start()
     _wait_for_signal()
@@ -67,7 +69,7 @@
     if spindle.settings.instance.role == ROLE_CONTROL:
         folder = control.setup(spindle, app)
         spindle.on_stop(folder.close)
-        account_component.setup_control(spindle, app, folder)
+        account_component.setup_control(spindle, app, FolderSink(folder))
         return
     link = control_link.setup(spindle)
     spindle.on_stop(link.leave)
--- /dev/null
+++ b/tests/integration/test_recovery.py
@@ -0,0 +1,88 @@
+"""Lost disks, second losses and restarts after many notes."""
+
+from bench import files
+from bench.deployment import Deployment
+from bench.plan import GroupPlan
+from bench.plan_builder import build_plan
+
+from tests.integration.common import DeploymentCase
+
+GROUPS = (GroupPlan("comptoir", 2, 2),)
+ENTRIES = ["entry-1", "entry-2"]
+MANY_NOTES = 300
+
+
+class TestRecovery(DeploymentCase):
+    deployment: Deployment
+
+    def setUp(self) -> None:
+        settings = (("snapshot-every", "50"),)
+        plan = build_plan(GROUPS, controls=3, entries=2, control_settings=settings)
+        self.deployment = self.deploy(plan)
+
+    def _voters(self, name: str) -> dict[str, str]:
+        members = self.deployment.operator(name).get("/v1/members").body
+        return {item["name"]: item["folder_id"] for item in members if item["voter"]}
+
+    def _apply_many(self, first: int, count: int, control: str) -> None:
+        for number in range(first, first + count):
+            answer = self.deployment.apply(files.small_note(number, 100 + number), control)
+            self.assertEqual(answer.status, 200, answer)
+
+    def test_second_instance_is_lost_right_after_the_repair(self) -> None:
+        leader = self.deployment.leader()
+        lost, second = (c.name for c in self.deployment.plan.controls if c.name != leader)
+        self._apply_many(2, 60, leader)
+        old_folder = self._voters(leader)[lost]
+        self.deployment.processes[lost].kill()
+        self.deployment.wipe(lost)
+        self.deployment.start_instance(lost)
+
+        def repaired() -> bool | None:
+            voters = self._voters(leader)
+            return True if len(voters) == 3 and voters[lost] != old_folder else None
+
+        self.deployment.wait_until(repaired, "the emptied instance to vote again")
+        self.deployment.processes[second].kill()
+        answer = self.apply_until_accepted(self.deployment, files.small_note(62, 999), leader)
+        self.assertEqual(answer.body["version"], 62)
+        self.wait_versions(self.deployment, 62, ENTRIES)
+
+    def test_emptied_majority_accepts_nothing(self) -> None:
+        leader = self.deployment.leader()
+        others = [c.name for c in self.deployment.plan.controls if c.name != leader]
+        for name in others:
+            self.deployment.processes[name].kill()
+            self.deployment.wipe(name)
+        for name in others:
+            self.deployment.start_instance(name)
+            self.deployment.wait_answer(name, "/v1/identity")
+        answer = self.deployment.apply(files.small_note(2, 111), leader)
+        self.assertNotEqual(answer.status, 200)
+        for name in others:
+            identity = self.deployment.operator(name).get("/v1/identity").body
+            self.assertTrue(identity["blank"])
+
+    def test_restart_of_everything_after_hundreds_of_notes(self) -> None:
+        leader = self.deployment.leader()
+        self._apply_many(2, MANY_NOTES - 1, leader)
+        before = self.deployment.operator(leader).get("/v1/status").body
+        first = self.deployment.operator(leader).get("/v1/notes/2").body
+        for instance in self.deployment.instances:
+            self.deployment.processes[instance].kill()
+        for instance in self.deployment.instances:
+            self.deployment.start_instance(instance)
+        for entry in ENTRIES:
+            self.deployment.wait_ready(entry)
+        self.wait_versions(self.deployment, MANY_NOTES, ENTRIES)
+        for control in self.deployment.plan.controls:
+            self.deployment.wait_until(
+                lambda name=control.name: self._holds(name, before["digest"]) or None,
+                f"the digest at {control.name}",
+            )
+            shown = self.deployment.operator(control.name).get("/v1/notes/2").body
+            self.assertEqual(shown, first)
+        self._apply_many(MANY_NOTES + 1, 1, self.deployment.leader())
+
+    def _holds(self, name: str, digest: str) -> bool:
+        return bool(self.deployment.operator(name).get("/v1/status").body["digest"] == digest)
