Add the replicated state: notes in order and at-most-once claims

Every control instance applies the log to this state. It holds the catalog, the outcomes of all notes, the texts of the newest 256 notes, and the claims of non-idempotent requests.

Weighed for notes: a dictionary of outcomes by id against encoded rows in order of the numbers. The rows need no index, as a resend names its number, and only a note about to be applied is searched for by id. Refusals are not remembered: a refused note changed nothing, and a corrected one may follow under its number. The price is that a delayed duplicate of a refused note may still be applied once it fits, which the list of notes then shows.

Weighed for claims: retention by the clock of the leader alone. One leader whose clock runs ahead would drop claims early and make every id look expired for ever. The log time moves up to the earlier of that clock and the time in the id instead, so one wrong clock does neither. An open claim reserves room for its body, so the table refuses new claims when full and forgets none.

A release that overtakes its own claim is kept, so that the late claim is not granted to an attempt that has ended.

--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state: the catalog, the notes that led to it, and the claims."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/state/replicated_state.py
@@ -0,0 +1,188 @@
+"""The state machine that every control instance applies the log to."""
+
+import xxhash
+
+from spindle_decisions.catalog.catalog import EMPTY_CATALOG, Catalog
+from spindle_decisions.claims.claim_limits import ClaimLimits
+from spindle_decisions.claims.claim_table import ClaimTable, create_claim_table
+from spindle_decisions.commands.apply_note import ApplyNote
+from spindle_decisions.commands.claim_run import ClaimRun
+from spindle_decisions.commands.command import Command, Result
+from spindle_decisions.commands.note_applied import NoteApplied
+from spindle_decisions.commands.note_refused import NoteRefused
+from spindle_decisions.exceptions import ControlError, NoteError
+from spindle_decisions.notes.applier import apply_note
+from spindle_decisions.notes.note import Note
+from spindle_decisions.notes.parser import parse_note
+from spindle_decisions.state.const import (
+    CODE_ID_REUSED,
+    CODE_NUMBER_NOT_NEXT,
+    CODE_NUMBER_TAKEN,
+    SNAPSHOT_FORMAT,
+)
+from spindle_decisions.state.note_ledger import NoteLedger
+from spindle_decisions.state.note_record import NoteRecord
+from spindle_decisions.state.note_texts import NoteTexts
+from spindle_decisions.state.state_image import (
+    StateImage,
+    decode_state_image,
+    encode_state_image,
+)
+
+
+class ReplicatedState:
+    """The catalog, the notes that led to it, and the claims.
+
+    Deterministic: replicas that apply the same entries hold the same bytes,
+    also when one of them started from a snapshot. Time comes only from the
+    commands.
+    """
+
+    def __init__(self, claims: ClaimTable) -> None:
+        self.applied_index = 0
+        self.catalog: Catalog = EMPTY_CATALOG
+        self.claims = claims
+        self._ledger = NoteLedger([])
+        self._texts = NoteTexts(0)
+
+    def apply(self, entry_index: int, command: Command) -> Result:
+        """Apply the command of a committed entry and return its result.
+
+        Entries are applied once each and in order; entries without a command
+        leave gaps. Raises `ControlError` for an index that was passed already.
+        """
+        if entry_index <= self.applied_index:
+            raise ControlError(f"entry {entry_index} is not after entry {self.applied_index}")
+        self.applied_index = entry_index
+        if isinstance(command, ApplyNote):
+            return self._apply_note(entry_index, command)
+        if isinstance(command, ClaimRun):
+            return self.claims.claim(command)
+        return self.claims.record(command)
+
+    def notes(self, last: int | None = None) -> tuple[NoteRecord, ...]:
+        """Return the applied notes in order, or only the `last` newest ones."""
+        newest = self._ledger.last_number
+        first = 1 if last is None else max(1, newest - last + 1)
+        records = (self._ledger.get(number) for number in range(first, newest + 1))
+        return tuple(record for record in records if record is not None)
+
+    def note_texts_between(self, from_version: int, to_version: int) -> tuple[str, ...] | None:
+        """Return the notes that lead from one version to another.
+
+        `None` means that they are no longer kept, or not known: the whole
+        catalog has to be sent.
+        """
+        return self._texts.between(from_version, to_version)
+
+    def encode_snapshot(self) -> bytes:
+        """Encode the whole state; equal states give equal bytes."""
+        image = StateImage(
+            format=SNAPSHOT_FORMAT,
+            applied_index=self.applied_index,
+            catalog=self.catalog,
+            note_rows=tuple(self._ledger.rows),
+            note_texts=self._texts.all(),
+            claims=self.claims.image(),
+        )
+        return encode_state_image(image)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by that of a snapshot.
+
+        Raises `StorageDamagedError` if the snapshot cannot be read; the state
+        is then unchanged.
+        """
+        image = decode_state_image(data)
+        self.applied_index = image.applied_index
+        self.catalog = image.catalog
+        self.claims.restore(image.claims)
+        self._ledger = NoteLedger(list(image.note_rows))
+        self._texts = NoteTexts(image.catalog.version, image.note_texts)
+
+    def digest(self) -> str:
+        """Return the digest of the whole state, 32 hexadecimal digits."""
+        return xxhash.xxh3_128_hexdigest(self.encode_snapshot())
+
+    def _apply_note(self, entry_index: int, command: ApplyNote) -> NoteApplied | NoteRefused:
+        try:
+            note = parse_note(command.text)
+        except NoteError as err:
+            return NoteRefused(err.code, str(err))
+        earlier = self._ledger.get(note.number)
+        if earlier is not None and earlier.note_id == note.note_id:
+            return _resend_result(earlier, note)
+        refusal = self._check_identity(note, earlier)
+        if refusal is not None:
+            return refusal
+        try:
+            catalog = apply_note(self.catalog, note)
+        except NoteError as err:
+            return NoteRefused(err.code, str(err))
+        return self._accept(entry_index, command, note, catalog)
+
+    def _check_identity(self, note: Note, earlier: NoteRecord | None) -> NoteRefused | None:
+        same_id = self._ledger.find_id(note.note_id)
+        if same_id is not None:
+            return _id_reused(same_id)
+        if earlier is not None:
+            return NoteRefused(
+                CODE_NUMBER_TAKEN,
+                f"[note] number = '{note.number}': is the number of the note of {earlier.author} "
+                f"with digest {earlier.digest}, allowed is {self._ledger.last_number + 1}",
+                earlier.digest,
+            )
+        expected = self._ledger.last_number + 1
+        if note.number != expected:
+            return NoteRefused(
+                CODE_NUMBER_NOT_NEXT, f"[note] number = '{note.number}': allowed is {expected}"
+            )
+        return None
+
+    def _accept(
+        self, entry_index: int, command: ApplyNote, note: Note, catalog: Catalog
+    ) -> NoteApplied:
+        newest = self._ledger.get(self._ledger.last_number)
+        applied_at_ms = command.proposed_at_ms
+        if newest is not None:
+            applied_at_ms = max(applied_at_ms, newest.applied_at_ms)
+        record = NoteRecord(
+            number=note.number,
+            note_id=note.note_id,
+            author=note.author,
+            digest=note.digest,
+            version=catalog.version,
+            catalog_digest=catalog.digest(),
+            applied_at_ms=applied_at_ms,
+            entry_index=entry_index,
+        )
+        self.catalog = catalog
+        self._ledger.append(record)
+        self._texts.append(catalog.version, command.text)
+        return _applied(record)
+
+
+def create_replicated_state(limits: ClaimLimits | None = None) -> ReplicatedState:
+    """Return the state before the first entry; `limits` must be equal on all replicas."""
+    return ReplicatedState(create_claim_table(limits))
+
+
+def _resend_result(record: NoteRecord, note: Note) -> NoteApplied | NoteRefused:
+    if record.digest != note.digest:
+        return _id_reused(record)
+    return _applied(record)
+
+
+def _applied(record: NoteRecord) -> NoteApplied:
+    return NoteApplied(
+        record.number, record.note_id, record.digest, record.version, record.catalog_digest
+    )
+
+
+def _id_reused(record: NoteRecord) -> NoteRefused:
+    return NoteRefused(
+        CODE_ID_REUSED,
+        f"[note] id = '{record.note_id}': is the id of note {record.number} with digest "
+        f"{record.digest}, allowed is an id that no other note has",
+        record.digest,
+    )
--- /dev/null
+++ b/tests/decisions/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of at-most-once claims."""
