--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The data folder: the log, snapshots and minute summaries on disk."""
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/storage/data_folder.py
@@ -0,0 +1,196 @@
+"""The data folder of a control instance."""
+
+import contextlib
+import logging
+import pathlib
+from collections.abc import Iterator
+
+from spindle_daemon.storage.const import FOLDER_MODE, MAX_SEGMENT_BYTES, SUFFIX_TEMPORARY
+from spindle_daemon.storage.file_access import FileAccess
+from spindle_daemon.storage.folder_lock import FolderLock, lock_folder
+from spindle_daemon.storage.identity import load_identity
+from spindle_daemon.storage.journal import Journal, create_journal
+from spindle_daemon.storage.journal_record import JournalBatch
+from spindle_daemon.storage.log_position import LogPosition
+from spindle_daemon.storage.os_file_access import create_file_access
+from spindle_daemon.storage.snapshot_files import SnapshotFiles, StoredSnapshot
+from spindle_decisions.consensus.hard_state import HardState
+from spindle_decisions.consensus.persist_batch import PersistBatch
+from spindle_decisions.consensus.restored_state import RestoredState
+from spindle_decisions.consensus.snapshot import Snapshot
+from spindle_decisions.exceptions import StorageError, SyncFailedError
+
+_LOGGER = logging.getLogger(__name__)
+
+FIRST_SEGMENT = 1
+
+
+class DataFolder:
+    """Keeps hard state, log and snapshots; everything is synced before a call returns.
+
+    The calls block, and are meant for a thread beside the loop; they must not
+    overlap. After a failed write or sync the state on disk is unknown: the call
+    raises `SyncFailedError`, and so does every later one.
+    """
+
+    def __init__(
+        self,
+        folder_id: str,
+        lock: FolderLock,
+        journal: Journal,
+        snapshots: SnapshotFiles,
+    ) -> None:
+        self.folder_id = folder_id
+        self._lock = lock
+        self._journal = journal
+        self._snapshots = snapshots
+        self._restored = False
+        self._busy = False
+        self._failure = ""
+
+    def restore(self) -> RestoredState:
+        """Read everything; to be called once, before anything else.
+
+        A torn tail of the log is cut. Raises `StorageDamagedError`, with file and
+        offset, if a file is damaged otherwise.
+        """
+        with self._one_call():
+            if self._restored:
+                raise StorageError("the folder was restored already")
+            stored = self._snapshots.load_newest()
+            first_segment = stored.first_segment if stored else FIRST_SEGMENT
+            covered_index = stored.snapshot.index if stored else 0
+            entries = self._journal.load(first_segment, covered_index)
+            self._restored = True
+        position = self._journal.position
+        _LOGGER.info(
+            "storage: restored folder %s, snapshot at entry %s, %s entries, term %s",
+            self.folder_id,
+            covered_index,
+            len(entries),
+            position.hard_state.term,
+        )
+        return RestoredState(
+            self.folder_id, position.hard_state, stored.snapshot if stored else None, entries
+        )
+
+    def persist(self, batch: PersistBatch) -> None:
+        """Write a group commit and sync it.
+
+        Raises `StorageError` if the batch does not follow the log, and nothing
+        is written then.
+        """
+        with self._one_call():
+            self._check_restored()
+            record = JournalBatch(batch.truncate_from, batch.entries, batch.hard_state)
+            self._check(record, batch.snapshot)
+            if batch.snapshot is not None:
+                self._install(batch.snapshot, batch.hard_state)
+            if record.truncate_from or record.entries or record.hard_state is not None:
+                self._journal.append(record)
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Save a snapshot of the own state, then drop the log files that it covers.
+
+        A snapshot that is not newer than the one in place is ignored.
+        """
+        with self._one_call():
+            self._check_restored()
+            if snapshot.index <= self._journal.position.covered_index:
+                return
+            first_segment = self._journal.first_needed(snapshot.index)
+            self._snapshots.save(StoredSnapshot(first_segment, snapshot))
+            self._journal.position.covered_index = snapshot.index
+            self._journal.remove_before(first_segment)
+
+    def close(self) -> None:
+        """Close the files and release the lock."""
+        self._journal.close()
+        self._lock.release()
+
+    def _check(self, record: JournalBatch, snapshot: Snapshot | None) -> None:
+        position = self._journal.position
+        covered_index = position.covered_index
+        if snapshot is not None:
+            if snapshot.index <= covered_index:
+                raise StorageError(
+                    f"snapshot at entry {snapshot.index} is not newer than that at {covered_index}"
+                )
+            covered_index = snapshot.index
+            position = LogPosition(covered_index)
+        if 0 < record.truncate_from <= covered_index:
+            raise StorageError(
+                f"truncation from entry {record.truncate_from}, the snapshot covers {covered_index}"
+            )
+        position.check(record)
+
+    def _install(self, snapshot: Snapshot, hard_state: HardState | None) -> None:
+        """Replace log and state by a snapshot of the leader.
+
+        The new log file comes first, then the snapshot that makes it the only
+        one in force: a crash between the two leaves the old state in force.
+        """
+        position = self._journal.position
+        first_segment = self._journal.roll(hard_state or position.hard_state)
+        self._snapshots.save(StoredSnapshot(first_segment, snapshot))
+        position.covered_index = snapshot.index
+        position.last_index = 0
+        self._journal.remove_before(first_segment)
+
+    def _check_restored(self) -> None:
+        if not self._restored:
+            raise StorageError("the folder has to be restored first")
+
+    @contextlib.contextmanager
+    def _one_call(self) -> Iterator[None]:
+        if self._failure:
+            raise SyncFailedError(f"no further work after: {self._failure}")
+        if self._busy:
+            raise StorageError("calls to the data folder must not overlap")
+        self._busy = True
+        try:
+            yield
+        except StorageError:
+            raise
+        except OSError as err:
+            self._failure = str(err)
+            _LOGGER.critical("storage: file operation failed: %s", err)
+            raise SyncFailedError(f"file operation failed: {err}") from err
+        except BaseException as err:
+            self._failure = repr(err)
+            raise
+        finally:
+            self._busy = False
+
+
+def open_data_folder(
+    path: pathlib.Path,
+    files: FileAccess | None = None,
+    max_segment_bytes: int = MAX_SEGMENT_BYTES,
+) -> DataFolder:
+    """Open, and if needed create, a data folder and lock it.
+
+    Raises `StorageLockedError` if another process holds it and
+    `StorageDamagedError` if its identity is damaged. Example:
+
+        folder = open_data_folder(pathlib.Path("/var/lib/damaskspindle"))
+        state = folder.restore()
+    """
+    access = files or create_file_access()
+    try:
+        path.mkdir(mode=FOLDER_MODE, parents=True, exist_ok=True)
+        lock = lock_folder(path)
+    except OSError as err:
+        raise StorageError(f"{path}: {err}") from err
+    try:
+        for leftover in path.glob(f"*{SUFFIX_TEMPORARY}"):
+            access.unlink(leftover)
+        identity = load_identity(access, path)
+    except OSError as err:
+        lock.release()
+        raise StorageError(f"{path}: {err}") from err
+    except StorageError:
+        lock.release()
+        raise
+    journal = create_journal(access, path, max_segment_bytes)
+    return DataFolder(identity.folder_id, lock, journal, SnapshotFiles(access, path))
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/storage/durable_file.py
@@ -0,0 +1,24 @@
+"""Writes a whole file so that it is there completely or not at all."""
+
+import pathlib
+
+from spindle_daemon.storage.const import SUFFIX_TEMPORARY
+from spindle_daemon.storage.file_access import FileAccess
+
+
+def write_durable_file(files: FileAccess, path: pathlib.Path, data: bytes) -> None:
+    """Write a temporary file, sync it, rename it, and sync the folder.
+
+    A crash at any point leaves the file as it was or as it is to be; a left
+    temporary file is removed when the folder is next opened.
+    """
+    temporary = path.with_name(path.name + SUFFIX_TEMPORARY)
+    fd = files.open(temporary)
+    try:
+        files.truncate(fd, 0)
+        files.write(fd, data, 0)
+        files.sync(fd)
+    finally:
+        files.close(fd)
+    files.rename(temporary, path)
+    files.sync_folder(path.parent)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/storage/record_codec.py
@@ -0,0 +1,84 @@
+"""Frames records in files: a mark, a length, a checksum and the body."""
+
+import msgspec
+import xxhash
+
+from spindle_daemon.storage.const import MAX_RECORD_BYTES
+from spindle_decisions.exceptions import StorageError
+
+MARK = b"SPR1"
+_LENGTH_BYTES = 4
+_CHECKSUM_BYTES = 8
+_LENGTH_START = len(MARK)
+_CHECKSUM_START = _LENGTH_START + _LENGTH_BYTES
+HEADER_BYTES = _CHECKSUM_START + _CHECKSUM_BYTES
+_OFFSET_BITS = 32
+
+
+class RecordScan(msgspec.Struct, frozen=True):
+    """The records of a file up to the first byte that is not part of a sound one.
+
+    `end` is the offset of that byte. `sound_after` is the offset of a sound
+    record behind it, or `None`: with one, the file is damaged in the middle;
+    without, the rest is a torn tail, or there is no rest.
+    """
+
+    bodies: tuple[bytes, ...]
+    offsets: tuple[int, ...]
+    end: int
+    sound_after: int | None
+
+
+def encode_record(body: bytes, file_number: int, offset: int) -> bytes:
+    """Frame a record for one place in one file.
+
+    The checksum covers the place, so bytes of a record that stand anywhere else
+    are never taken for a record.
+    """
+    if len(body) > MAX_RECORD_BYTES:
+        raise StorageError(f"a record of {len(body)} bytes, allowed are {MAX_RECORD_BYTES}")
+    length = len(body).to_bytes(_LENGTH_BYTES, "little")
+    return MARK + length + _checksum(length, body, file_number, offset) + body
+
+
+def scan_records(data: bytes, file_number: int) -> RecordScan:
+    """Read the records of a file from its start."""
+    bodies: list[bytes] = []
+    offsets: list[int] = []
+    offset = 0
+    while (body := _read_record(data, file_number, offset)) is not None:
+        bodies.append(body)
+        offsets.append(offset)
+        offset += HEADER_BYTES + len(body)
+    return RecordScan(
+        tuple(bodies), tuple(offsets), offset, _find_record(data, file_number, offset + 1)
+    )
+
+
+def _find_record(data: bytes, file_number: int, start: int) -> int | None:
+    offset = data.find(MARK, start)
+    while offset >= 0:
+        if _read_record(data, file_number, offset) is not None:
+            return offset
+        offset = data.find(MARK, offset + 1)
+    return None
+
+
+def _read_record(data: bytes, file_number: int, offset: int) -> bytes | None:
+    body_start = offset + HEADER_BYTES
+    if body_start > len(data) or not data.startswith(MARK, offset):
+        return None
+    length = data[offset + _LENGTH_START : offset + _CHECKSUM_START]
+    body_end = body_start + int.from_bytes(length, "little")
+    if body_end > len(data):
+        return None
+    body = data[body_start:body_end]
+    expected = data[offset + _CHECKSUM_START : body_start]
+    if _checksum(length, body, file_number, offset) != expected:
+        return None
+    return body
+
+
+def _checksum(length: bytes, body: bytes, file_number: int, offset: int) -> bytes:
+    seed = (file_number << _OFFSET_BITS) + offset
+    return xxhash.xxh3_64_digest(length + body, seed=seed % (1 << 64))
--- /dev/null
+++ b/tests/daemon/storage/common.py
@@ -0,0 +1,186 @@
+"""File operations that crash, and a plain model of what a data folder must hold."""
+
+import dataclasses
+import logging
+import os
+import pathlib
+import random
+
+from spindle_daemon.storage.os_file_access import OsFileAccess
+from spindle_decisions.consensus.entry_kind import EntryKind
+from spindle_decisions.consensus.hard_state import HardState
+from spindle_decisions.consensus.log_entry import LogEntry
+from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.consensus.persist_batch import PersistBatch
+from spindle_decisions.consensus.restored_state import RestoredState
+from spindle_decisions.consensus.snapshot import Snapshot
+
+logging.getLogger("spindle_daemon.storage").setLevel(logging.CRITICAL + 1)
+
+
+class Crash(BaseException):
+    """The process ends here."""
+
+
+@dataclasses.dataclass
+class CrashFile:
+    """The content a file has, and the content that is surely on the disk."""
+
+    content: bytes = b""
+    synced: bytes = b""
+
+
+class CrashFiles(OsFileAccess):
+    """File operations that stop before any chosen one, and know what the disk then holds.
+
+    Content counts as written after `sync`, names after `sync_folder`. What was
+    not brought to the disk is lost, torn or replaced by other bytes.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(self._no_sync)
+        self.operations = 0
+        self.crash_at = 0
+        self.names: dict[str, CrashFile] = {}
+        self.history: list[dict[str, CrashFile]] = [{}]
+        self.by_fd: dict[int, CrashFile] = {}
+
+    def _no_sync(self, fd: int, /) -> None:
+        self.by_fd[fd].synced = self.by_fd[fd].content
+
+    def _step(self) -> None:
+        self.operations += 1
+        if self.operations == self.crash_at:
+            raise Crash
+
+    def _renamed(self) -> None:
+        self.history.append(dict(self.names))
+
+    def open(self, path: pathlib.Path) -> int:
+        self._step()
+        fd = super().open(path)
+        if path.name not in self.names:
+            self.names[path.name] = CrashFile()
+            self._renamed()
+        self.by_fd[fd] = self.names[path.name]
+        return fd
+
+    def write(self, fd: int, data: bytes, offset: int) -> None:
+        file = self.by_fd[fd]
+        file.content = file.content[:offset].ljust(offset, b"\0") + data
+        self._step()
+        super().write(fd, data, offset)
+
+    def truncate(self, fd: int, size_bytes: int) -> None:
+        self._step()
+        super().truncate(fd, size_bytes)
+        self.by_fd[fd].content = self.by_fd[fd].content[:size_bytes].ljust(size_bytes, b"\0")
+
+    def sync(self, fd: int) -> None:
+        self._step()
+        super().sync(fd)
+
+    def rename(self, source: pathlib.Path, target: pathlib.Path) -> None:
+        self._step()
+        super().rename(source, target)
+        self.names[target.name] = self.names.pop(source.name)
+        self._renamed()
+
+    def unlink(self, path: pathlib.Path) -> None:
+        self._step()
+        super().unlink(path)
+        del self.names[path.name]
+        self._renamed()
+
+    def sync_folder(self, path: pathlib.Path) -> None:
+        self._step()
+        self.history = [dict(self.names)]
+
+    def after_crash(self, folder: pathlib.Path, rng: random.Random) -> "CrashFiles":
+        """Write what the disk holds after a crash to an empty folder, and go on with it."""
+        files = CrashFiles()
+        for name, file in rng.choice(self.history).items():
+            content = _torn(file, rng)
+            (folder / name).write_bytes(content)
+            files.names[name] = CrashFile(content, content)
+        files.history = [dict(files.names)]
+        return files
+
+
+def _torn(file: CrashFile, rng: random.Random) -> bytes:
+    kind = rng.choice(["synced", "prefix", "zeros", "noise", "all"])
+    pending = len(file.content) - len(file.synced)
+    if kind == "all":
+        return file.content
+    if kind == "synced" or pending <= 0 or not file.content.startswith(file.synced):
+        return file.synced
+    if kind == "prefix":
+        return file.content[: rng.randint(len(file.synced), len(file.content))]
+    if kind == "zeros":
+        return file.synced + bytes(pending)
+    holes = bytearray(file.content)
+    for _ in range(rng.randint(1, 4)):
+        holes[rng.randrange(len(file.synced), len(holes))] ^= rng.randint(1, 255)
+    return bytes(holes)
+
+
+@dataclasses.dataclass(frozen=True)
+class Model:
+    """What a data folder must give back."""
+
+    hard_state: HardState = HardState()
+    snapshot: Snapshot | None = None
+    entries: tuple[LogEntry, ...] = ()
+
+    @property
+    def last_index(self) -> int:
+        covered = self.snapshot.index if self.snapshot else 0
+        return self.entries[-1].index if self.entries else covered
+
+    def matches(self, state: RestoredState) -> bool:
+        own = (self.hard_state, self.snapshot, self.entries)
+        return own == (state.hard_state, state.snapshot, state.entries)
+
+    def persist(self, batch: PersistBatch) -> list["Model"]:
+        """Return the states that a crash may leave; the last one is the finished one."""
+        hard_state = batch.hard_state or self.hard_state
+        states = [self]
+        kept, snapshot = self.entries, self.snapshot
+        if batch.snapshot is not None:
+            kept, snapshot = (), batch.snapshot
+            states.append(dataclasses.replace(self, hard_state=hard_state))
+            states.append(Model(hard_state, snapshot))
+        if batch.truncate_from:
+            kept = tuple(entry for entry in kept if entry.index < batch.truncate_from)
+        return [*states, Model(hard_state, snapshot, kept + batch.entries)]
+
+    def save_snapshot(self, snapshot: Snapshot) -> list["Model"]:
+        """Return the states that a crash may leave; the last one is the finished one."""
+        kept = tuple(entry for entry in self.entries if entry.index > snapshot.index)
+        return [self, Model(self.hard_state, snapshot, kept)]
+
+
+def entries(first: int, count: int, term: int = 1, size_bytes: int = 8) -> tuple[LogEntry, ...]:
+    """Return entries with different content."""
+    return tuple(
+        LogEntry(index, term, EntryKind.COMMAND, index.to_bytes(size_bytes, "big"))
+        for index in range(first, first + count)
+    )
+
+
+def snapshot_at(index: int, term: int = 1) -> Snapshot:
+    """Return a snapshot."""
+    return Snapshot(index, term, MembershipSet(), b"state %d" % index)
+
+
+def copy_folder(source: pathlib.Path, target: pathlib.Path) -> None:
+    """Copy the files of a flat folder."""
+    target.mkdir()
+    for path in source.iterdir():
+        if path.is_file():
+            (target / path.name).write_bytes(path.read_bytes())
+
+
+def fail_sync(fd: int, /) -> None:
+    """Fail like a disk that lost a write."""
+    raise OSError(5, os.strerror(5))
