--- a/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
@@ -137,12 +137,13 @@
 
     def _take_slot(self) -> UpstreamState | None:
         now = self.spindle.clock.now()
+        candidates = self.board.candidates(self.service, None, self.tried, now)
+        if not candidates:
+            return None
         if not self.board.queued(self.service):
-            state = self.board.pick(self.service, None, self.tried, now)
+            state = self.board.pick(candidates, now)
             if state is not None:
                 return state
-        if not self.board.candidates(self.service, None, self.tried, now):
-            return None
         waiter = RunWaiter(self.deadline, frozenset(self.tried))
         if not self.board.enqueue(self.service, waiter):
             return None
--- a/packages/daemon/src/spindle_daemon/components/serving/upstream_connection.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/upstream_connection.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPResponse
 
 from spindle_daemon.components.serving import const
 from spindle_daemon.components.serving.connection_pool import SingleSocketPool
@@ -60,11 +61,15 @@
             request_id=_header(response, HEADER_REQUEST_ID),
             snapshot=_header(response, HEADER_SNAPSHOT),
             load=_header(response, HEADER_LOAD),
-            draining=_header(response, HEADER_DRAINING) == SWITCH_ON,
-            not_run=_header(response, HEADER_NOT_RUN) == SWITCH_ON,
+            draining=HEADER_DRAINING in response and _switched_on(response, HEADER_DRAINING),
+            not_run=HEADER_NOT_RUN in response and _switched_on(response, HEADER_NOT_RUN),
         )
 
 
-def _header(response: object, name: str) -> str:
-    value = response.get(name)  # type: ignore[attr-defined]
+def _header(response: HTTPResponse, name: str) -> str:
+    value = response.get(name)
     return value if isinstance(value, str) else ""
+
+
+def _switched_on(response: HTTPResponse, name: str) -> bool:
+    return _header(response, name) == SWITCH_ON
--- a/packages/decisions/src/spindle_decisions/serving/naive_policy.py
+++ b/packages/decisions/src/spindle_decisions/serving/naive_policy.py
@@ -32,7 +32,11 @@
         """Never hedge."""
         return None
 
-    def may_hedge(self) -> bool:
+    def admits_hedge(self, state: UpstreamState) -> bool:
+        """Admit none."""
+        return False
+
+    def may_hedge(self, patient: bool) -> bool:
         """Never hedge."""
         return False
 
--- a/packages/decisions/src/spindle_decisions/serving/ratio_budget.py
+++ b/packages/decisions/src/spindle_decisions/serving/ratio_budget.py
@@ -18,9 +18,9 @@
         """Count primaries that were sent."""
         self.tokens = min(self.burst, self.tokens + self.ratio * primaries)
 
-    def take(self) -> bool:
-        """Spend one extra sub-request; return false when the budget is used up."""
-        if self.tokens < 1.0:
+    def take(self, spare: float = 0.0) -> bool:
+        """Spend one extra sub-request; return false when only `spare` would be left or less."""
+        if self.tokens < 1.0 + spare:
             return False
         self.tokens -= 1.0
         return True
--- a/packages/decisions/src/spindle_decisions/serving/scatter.py
+++ b/packages/decisions/src/spindle_decisions/serving/scatter.py
@@ -23,6 +23,8 @@
 MAX_RESTARTS = 2
 RESTART_TIME_SHARE = 0.3
 RETRY_PAUSE_S = 0.02
+HEDGE_PATIENCE = 1.4
+HEDGE_LOOK_AGAIN = 0.5
 
 Action = Send | Cancel | Finish
 
@@ -215,13 +217,12 @@
         if now >= self.plan.deadline:
             return
         snapshot = self.snapshot_for(shard.service)
-        if snapshot is None or not self.board.candidates(shard.service, snapshot, shard.avoid, now):
+        candidates = self.board.candidates(shard.service, snapshot, shard.avoid, now)
+        if snapshot is None or not candidates:
             self._no_replica(shard, now)
             return
         first_in_line = not self.board.queued(shard.service)
-        state = (
-            self.board.pick(shard.service, snapshot, shard.avoid, now) if first_in_line else None
-        )
+        state = self.board.pick(candidates, now) if first_in_line else None
         if state is not None:
             self._send(shard, state, shard.next_kind, now)
             return
@@ -270,20 +271,38 @@
         heapq.heappush(self.timers, (at, self.timer_seq, shard, kind))
 
     def _hedge(self, shard: ScatterShard, now: float) -> None:
-        """Send a hedge if a replica is free and the budget allows, else look again later."""
-        if not shard.flying or shard.waiting:
+        """Send a hedge if a replica is free and the budget allows, else look again later.
+
+        A replica that this shard already waits for is asked again only when
+        there is no other: a straggler need not repeat itself.
+        """
+        after_s = self.board.policy.hedge_after_s(self.plan.group)
+        if after_s is None or not shard.flying or shard.waiting:
             return
         if shard.sent >= MAX_SENT_PER_SHARD:
             return
+        state = self._hedge_target(shard, now)
+        patient = now - self._oldest(shard) > HEDGE_PATIENCE * after_s
+        if state is not None and self.board.policy.may_hedge(patient):
+            self.board.take(state)
+            self._send(shard, state, AttemptKind.HEDGE, now)
+            self._arm(now + after_s, shard, AttemptKind.HEDGE)
+        else:
+            self._arm(now + HEDGE_LOOK_AGAIN * after_s, shard, AttemptKind.HEDGE)
+
+    def _hedge_target(self, shard: ScatterShard, now: float) -> UpstreamState | None:
+        if self.board.queued(shard.service):
+            return None
         snapshot = self.snapshot_for(shard.service)
         in_use = {attempt.state.name for attempt in shard.flying.values()}
         candidates = self.board.candidates(shard.service, snapshot, in_use, now)
-        free = any(self.board.policy.admits(state) for state in candidates)
-        if free and not self.board.queued(shard.service) and self.board.policy.may_hedge():
-            state = self.board.pick(shard.service, snapshot, in_use, now)
-            if state is not None:
-                self._send(shard, state, AttemptKind.HEDGE, now)
-        self._arm_hedge(shard, now)
+        if not candidates:
+            candidates = self.board.candidates(shard.service, snapshot, (), now)
+        free = [state for state in candidates if self.board.policy.admits_hedge(state)]
+        return self.board.policy.choose(free, now, self.board.rng) if free else None
+
+    def _oldest(self, shard: ScatterShard) -> float:
+        return min(attempt.sent_at for attempt in shard.flying.values())
 
     def _again(self, shard: ScatterShard, kind: FailureKind, now: float) -> None:
         """Try a shard once more: another replica at once, the same one after a pause."""
--- a/packages/decisions/src/spindle_decisions/serving/serving_policy.py
+++ b/packages/decisions/src/spindle_decisions/serving/serving_policy.py
@@ -28,8 +28,11 @@
     def hedge_after_s(self, group: str) -> float | None:
         """Return after how long to hedge, or `None` for never."""
 
-    def may_hedge(self) -> bool:
-        """Take one hedge from the budget."""
+    def admits_hedge(self, state: UpstreamState) -> bool:
+        """Tell whether a hedge may be in flight at the replica."""
+
+    def may_hedge(self, patient: bool) -> bool:
+        """Take one hedge from the budget; `patient` when it has waited for long already."""
 
     def may_retry(self, kind: FailureKind) -> bool:
         """Take one retry from the budget."""
--- a/packages/decisions/src/spindle_decisions/serving/tier_policy.py
+++ b/packages/decisions/src/spindle_decisions/serving/tier_policy.py
@@ -15,6 +15,8 @@
 HEDGE_INITIAL_S = 0.1
 HEDGE_LEAST_S = 0.002
 HEDGE_RATIO = 0.05
+HEDGE_BURST = 20.0
+HEDGE_SPARE = 10.0
 RETRY_RATIO = 0.03
 PRESSURE_WEIGHT = 0.02
 PRESSURE_CLOSES_HEDGES = 0.2
@@ -45,7 +47,7 @@
     def __init__(self, data_center: str, switches: TierSwitches) -> None:
         self.data_center = data_center
         self.switches = switches
-        self.hedges = RatioBudget(HEDGE_RATIO)
+        self.hedges = RatioBudget(HEDGE_RATIO, HEDGE_BURST)
         self.retries = RatioBudget(RETRY_RATIO)
         self.quantiles: dict[str, LatencyQuantile] = {}
         self.pressure = 0.0
@@ -65,7 +67,7 @@
 
     def in_use(self, states: Sequence[UpstreamState], now: float) -> list[UpstreamState]:
         """Return the replicas without the ejected ones, never fewer than the floor."""
-        if not self.switches.ejection:
+        if not self.switches.ejection or not any(now < state.ejection.until for state in states):
             return list(states)
         kept = [state for state in states if now >= state.ejection.until]
         short = ejection_floor(len(states)) - len(kept)
@@ -103,9 +105,21 @@
             return None
         return max(HEDGE_LEAST_S, self._quantile(group).value_s)
 
-    def may_hedge(self) -> bool:
-        """Take one hedge from the budget, which is closed under pressure."""
-        return self.pressure < PRESSURE_CLOSES_HEDGES and self.hedges.take()
+    def admits_hedge(self, state: UpstreamState) -> bool:
+        """Admit up to the slots of the replica, also where the adaptive limit is lower."""
+        if self.switches.shares and state.inflight + state.probing >= state.share:
+            return False
+        return state.inflight < state.upstream.slots or self.admits(state)
+
+    def may_hedge(self, patient: bool) -> bool:
+        """Take one hedge from the budget, which is closed under pressure.
+
+        The last part of the budget is kept for sub-requests that have waited
+        for long, since a hedge helps them most.
+        """
+        if self.pressure >= PRESSURE_CLOSES_HEDGES:
+            return False
+        return self.hedges.take(0.0 if patient else HEDGE_SPARE)
 
     def may_retry(self, kind: FailureKind) -> bool:
         """Retry freely where the upstream did no work, else from the budget."""
--- a/packages/decisions/src/spindle_decisions/serving/upstream_board.py
+++ b/packages/decisions/src/spindle_decisions/serving/upstream_board.py
@@ -91,17 +91,19 @@
             return usable
         return self.policy.in_use(usable, now)
 
-    def pick(
-        self, service: str, snapshot: SnapshotId | None, avoid: Collection[str], now: float
-    ) -> UpstreamState | None:
-        """Take a slot at the best free replica, or return `None` when none is free."""
-        ready = self._ready(self.candidates(service, snapshot, avoid, now))
+    def pick(self, candidates: Sequence[UpstreamState], now: float) -> UpstreamState | None:
+        """Take a slot at the best free candidate, or return `None` when none is free."""
+        ready = [state for state in candidates if self.policy.admits(state)]
         if not ready:
             return None
         state = self.policy.choose(ready, now, self.rng)
-        state.inflight += 1
+        self.take(state)
         return state
 
+    def take(self, state: UpstreamState) -> None:
+        """Take a slot at this replica."""
+        state.inflight += 1
+
     def enqueue(self, service: str, waiter: SlotWaiter) -> bool:
         """Wait for a slot; return false when the queue of the service is full."""
         queue = self.queues.get(service)
@@ -194,12 +196,12 @@
                 queue.popleft()
                 continue
             snapshot = waiter.snapshot_for(service)
-            avoid = waiter.avoids(service)
-            if not self.candidates(service, snapshot, avoid, now):
+            candidates = self.candidates(service, snapshot, waiter.avoids(service), now)
+            if not candidates:
                 queue.popleft()
                 waiter.unservable(service, now)
                 continue
-            state = self.pick(service, snapshot, avoid, now)
+            state = self.pick(candidates, now)
             if state is None:
                 return
             queue.popleft()
@@ -209,9 +211,6 @@
         state.inflight -= 1
         self.grant_waiting(state.upstream.service, now)
 
-    def _ready(self, candidates: Sequence[UpstreamState]) -> list[UpstreamState]:
-        return [state for state in candidates if self.policy.admits(state)]
-
     def _held_by(self, service: str) -> set[SnapshotId]:
         held: set[SnapshotId] = set()
         for state in self.by_service.get(service, ()):
--- /dev/null
+++ b/tests/decisions/serving/common.py
@@ -0,0 +1,74 @@
+"""Fixtures of the serving decisions: a catalog, a board and silent notes."""
+
+import random
+
+from spindle_decisions.catalog.catalog import Catalog
+from spindle_decisions.catalog.data_center import DataCenter
+from spindle_decisions.catalog.group import Group
+from spindle_decisions.catalog.index import CatalogIndex
+from spindle_decisions.catalog.service import Service
+from spindle_decisions.catalog.upstream import Upstream
+from spindle_decisions.serving.connection_shares import SETTLE_S, ConnectionShares
+from spindle_decisions.serving.serving_policy import ServingPolicy
+from spindle_decisions.serving.snapshot_id import SnapshotId
+from spindle_decisions.serving.tier_policy import TierPolicy, TierSwitches
+from spindle_decisions.serving.upstream_board import UpstreamBoard
+from spindle_decisions.serving.upstream_state import UpstreamState
+
+HERE = "rennes-a"
+AWAY = "brest-b"
+GROUP = "comptoir"
+OLD = SnapshotId(1, 1)
+NEW = SnapshotId(1, 2)
+NEXT_EPOCH = SnapshotId(2, 3)
+
+
+class SilentNotes:
+    """Scatter notes that count instead of reporting."""
+
+    def __init__(self) -> None:
+        self.counts: dict[str, int] = {}
+
+    def __getattr__(self, name: str):  # type: ignore[no-untyped-def]
+        def count(*args: object) -> None:
+            self.counts[name] = self.counts.get(name, 0) + 1
+
+        return count
+
+
+def catalog(services: int = 3, replicas: int = 2, epoch: int = 1) -> CatalogIndex:
+    """Return services s1.. of epoch 1; in epoch 2 the last one is split in two."""
+    names = [f"s{number}" for number in range(1, services + 1)]
+    members = [Service(name, GROUP) for name in names]
+    members[-1] = Service(names[-1], GROUP, last_epoch=1)
+    members += [Service(f"{names[-1]}{half}", GROUP, first_epoch=2) for half in "xy"]
+    upstreams = [
+        Upstream(f"{service.name}-{letter}", service.name, HERE, "127.0.0.1", 1)
+        for service in members
+        for letter in "abcd"[:replicas]
+    ]
+    group = Group(GROUP, epoch=epoch)
+    return CatalogIndex(Catalog(1, (DataCenter(HERE),), (group,), tuple(members), tuple(upstreams)))
+
+
+def board(
+    index: CatalogIndex | None = None, policy: ServingPolicy | None = None, now: float = 100.0
+) -> UpstreamBoard:
+    """Return a board whose epoch 1 upstreams hold the old snapshot; shares are settled."""
+    shares = ConnectionShares("e1", now - SETTLE_S)
+    shares.heard_of({"e1": (1, False)}, now)
+    made = UpstreamBoard(policy or TierPolicy(HERE, TierSwitches()), shares, random.Random(1))
+    made.take_catalog(index or catalog(), now)
+    for state in made.states.values():
+        if made.index.services[state.upstream.service].in_epoch(1):
+            made.holds(state, frozenset((OLD,)))
+    return made
+
+
+def state(name: str = "s1-a", now: float = 0.0, data_center: str = HERE) -> UpstreamState:
+    """Return the state of an upstream that has long been in use."""
+    upstream = Upstream(name, "s1", data_center, "127.0.0.1", 1)
+    made = UpstreamState(upstream, now)
+    made.since = now - 1000.0
+    made.share = 25
+    return made
