--- a/packages/daemon/src/spindle_daemon/daemon.py
+++ b/packages/daemon/src/spindle_daemon/daemon.py
@@ -11,7 +11,7 @@
 from spindle_daemon.components import admin, control, control_link, process_metrics, timeline
 from spindle_daemon.components import entry_http as entry_http_component
 from spindle_daemon.components import serving as serving_component
-from spindle_daemon.components.account.folder_sink import FolderSink
+from spindle_daemon.components.account.memory_sink import MemorySink
 from spindle_daemon.core.clock import SystemClock
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.mesh.transport import Transport
@@ -69,7 +69,7 @@
     if spindle.settings.instance.role == ROLE_CONTROL:
         folder = control.setup(spindle, app)
         spindle.on_stop(folder.close)
-        account_component.setup_control(spindle, app, FolderSink(folder))
+        account_component.setup_control(spindle, app, MemorySink())
         return
     link = control_link.setup(spindle)
     spindle.on_stop(link.leave)
