Move the swarm process out of the folder of experiments

Its monkey patching reached every process that lists the experiments, the test runner among them: a test that stalls the loop on purpose then stalled nothing (1 delayed query instead of more than 10, in the whole suite only). Ruled out: a busy machine, since it failed in the same place each time the suite ran whole and never alone.

--- a/bench/experiments/control/control_cost.py
+++ b/bench/experiments/control/control_cost.py
@@ -94,7 +94,7 @@
         (folder / f"{instance.name}.ini").write_text(text)
     process = Process(
         "swarm",
-        "bench.experiments.control.swarm",
+        "bench.swarm",
         ["--folder", str(folder)],
         deployment.folder / "swarm.log",
     )
