Bound the queue of a service by the wait in it, not by its length

With a count per slot, the wait grows with the number of entries that share the slots without seeing each other. The bound is now 15% of the time left.

--- a/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
@@ -84,7 +84,7 @@
 
     def run(self) -> RunAnswer:
         """Run the request; raise the refusal that is true."""
-        if self.board.fills([self.service])[0] >= 1.0:
+        if self.board.fills([self.service], self._left_s())[0] >= 1.0:
             raise OverloadedError(f"the queue of {self.service} is full")
         if self.spindle.settings.serving.claims:
             held = self._claim()
--- a/packages/decisions/src/spindle_decisions/serving/scatter.py
+++ b/packages/decisions/src/spindle_decisions/serving/scatter.py
@@ -86,7 +86,9 @@
             self._pin(choice)
             self._finish(QueryEnd.DEADLINE, now)
             return
-        if self.board.policy.refuses_new(self.board.fills(choice.services)):
+        if self.board.policy.refuses_new(
+            self.board.fills(choice.services, self.plan.deadline - now)
+        ):
             self._pin(choice)
             self._finish(QueryEnd.OVERLOADED, now)
             return
--- a/packages/decisions/src/spindle_decisions/serving/upstream_board.py
+++ b/packages/decisions/src/spindle_decisions/serving/upstream_board.py
@@ -14,8 +14,9 @@
 from spindle_decisions.serving.snapshot_id import SnapshotId
 from spindle_decisions.serving.upstream_state import UpstreamState
 
-QUEUE_PER_SLOT = 2.0
-HARD_QUEUE_FACTOR = 2.0
+WAIT_SHARE = 0.15
+QUEUE_PER_SLOT = 8
+LEAST_WAIT_S = 0.01
 NOBODY: frozenset[str] = frozenset()
 
 
@@ -107,7 +108,7 @@
     def enqueue(self, service: str, waiter: SlotWaiter) -> bool:
         """Wait for a slot; return false when the queue of the service is full."""
         queue = self.queues.get(service)
-        if queue is None or len(queue) >= HARD_QUEUE_FACTOR * self._soft_bound(service):
+        if queue is None or len(queue) >= self._queue_bound(service):
             return False
         queue.append(waiter)
         return True
@@ -122,9 +123,25 @@
         """Return how many queries wait at the service."""
         return len(self.queues.get(service, ()))
 
-    def fills(self, services: Iterable[str]) -> list[float]:
-        """Return how full the queue of each service is; 1 is its soft bound."""
-        return [len(self.queues[name]) / self._soft_bound(name) for name in services]
+    def fills(self, services: Iterable[str], left_s: float) -> list[float]:
+        """Return how full the queue of each service is for a request with so much time left.
+
+        A queue is full, 1.0, when the wait in it takes `WAIT_SHARE` of the time.
+        """
+        budget_s = max(LEAST_WAIT_S, WAIT_SHARE * left_s)
+        return [self.expected_wait_s(name) / budget_s for name in services]
+
+    def expected_wait_s(self, service: str) -> float:
+        """Return how long the last in the queue of the service may wait for a slot."""
+        queued = self.queued(service)
+        if not queued:
+            return 0.0
+        states = [state for state in self.by_service[service] if not state.draining]
+        at_once = sum(max(1, state.inflight) for state in states)
+        if not at_once:
+            return 0.0
+        latency_s = sum(state.latency.value_s for state in states) / len(states)
+        return queued * latency_s / at_once
 
     def answered(self, state: UpstreamState, latency_s: float, now: float) -> bool:
         """Give a slot back after a good answer; return true when this restores the replica."""
@@ -218,9 +235,9 @@
                 held |= state.snapshots
         return held
 
-    def _soft_bound(self, service: str) -> float:
+    def _queue_bound(self, service: str) -> int:
         slots = sum(item.upstream.slots for item in self.by_service.get(service, ()))
-        return max(1.0, QUEUE_PER_SLOT * slots)
+        return QUEUE_PER_SLOT * max(1, slots)
 
 
 def _moved(state: UpstreamState, host: str, port: int) -> bool:
