Let deployments settle before they are measured

An entry that has just started holds one connection per upstream for 8 s. All arms are now started before the first is measured.

--- a/bench/experiments/arm.py
+++ b/bench/experiments/arm.py
@@ -6,9 +6,19 @@
 from bench.experiments.figures import Figures
 
 
+def _nothing() -> None:
+    """Do nothing."""
+
+
 @dataclass(frozen=True)
 class Arm:
-    """A named way of running the same load; `run` measures it."""
+    """A named way of running the same load; `run` measures it.
+
+    All arms of an experiment are prepared before the first is run, so that
+    their processes can settle meanwhile, and all are closed at the end.
+    """
 
     name: str
     run: Callable[[], Figures]
+    prepare: Callable[[], None] = _nothing
+    close: Callable[[], None] = _nothing
--- a/bench/experiments/runner.py
+++ b/bench/experiments/runner.py
@@ -10,6 +10,7 @@
 import msgspec
 import typer
 
+from bench.experiments.arm import Arm
 from bench.experiments.catalog import find_experiments
 from bench.experiments.context import Context
 from bench.experiments.experiment import Experiment
@@ -25,14 +26,24 @@
 
 def run_experiment(experiment: Experiment, context: Context) -> ExperimentReport:
     """Run all arms in turn and judge their figures."""
-    arms: dict[str, Figures] = {}
-    for arm in experiment.arms(context):
-        started = time.monotonic()
-        arms[arm.name] = arm.run()
-        _LOGGER.info(
-            "%s: arm %s took %.1f s", experiment.name, arm.name, time.monotonic() - started
-        )
-    return ExperimentReport(experiment.name, context.seed, arms, list(experiment.targets(arms)))
+    arms = experiment.arms(context)
+    try:
+        for arm in arms:
+            arm.prepare()
+        figures = {arm.name: _run_arm(experiment.name, arm) for arm in arms}
+    finally:
+        for arm in arms:
+            arm.close()
+    return ExperimentReport(
+        experiment.name, context.seed, figures, list(experiment.targets(figures))
+    )
+
+
+def _run_arm(experiment: str, arm: Arm) -> Figures:
+    started = time.monotonic()
+    figures = arm.run()
+    _LOGGER.info("%s: arm %s took %.1f s", experiment, arm.name, time.monotonic() - started)
+    return figures
 
 
 def main(
--- a/bench/experiments/serving/connections.py
+++ b/bench/experiments/serving/connections.py
@@ -21,10 +21,11 @@
 from bench.experiments.serving.serving_run import (
     load_figures,
     offered,
-    serving,
+    serving_plan,
     settings_of,
     warm_up,
 )
+from bench.experiments.serving.session import deployed_arm
 from bench.experiments.serving.workload import Workload
 from bench.experiments.target import Target, at_most
 from bench.load.generator import Generator
@@ -80,26 +81,25 @@
 def _arm(context: Context, arm: ServingArm) -> Arm:
     workload = SHORT if context.short else FULL
 
-    def run() -> Figures:
-        with serving(context, arm, workload) as deployment:
-            warm_up(context, workload, deployment)
-            before, cpu = deployment.counters(), CpuUse(deployment)
-            generator = Generator(offered(context, workload, deployment), {})
-            churn = _Churn(deployment, generator, workload.duration_s / 8)
-            changes = gevent.spawn(churn.run)
-            records = generator.run().records
-            figures: Figures = {**load_figures(records), **cpu.figures()}
-            changes.get()
-            after = deployment.counters()
-            totals = upstream_totals(before, after)
-            figures["added_load_ratio"] = added_load_ratio(totals["arrived"], records)
-            figures["upstreams"] = totals
-            figures["leaving_exit_code"] = churn.exit_code
-            figures.update(connection_totals(after))
-            figures["settings"] = settings_of(arm, workload)
-            return figures
-
-    return Arm(arm.name, run)
+    def run(deployment: ServingDeployment) -> Figures:
+        warm_up(context, workload, deployment)
+        before, cpu = deployment.counters(), CpuUse(deployment)
+        generator = Generator(offered(context, workload, deployment), {})
+        churn = _Churn(deployment, generator, workload.duration_s / 8)
+        changes = gevent.spawn(churn.run)
+        records = generator.run().records
+        figures: Figures = {**load_figures(records), **cpu.figures()}
+        changes.get()
+        after = deployment.counters()
+        totals = upstream_totals(before, after)
+        figures["added_load_ratio"] = added_load_ratio(totals["arrived"], records)
+        figures["upstreams"] = totals
+        figures["leaving_exit_code"] = churn.exit_code
+        figures.update(connection_totals(after))
+        figures["settings"] = settings_of(arm, workload)
+        return figures
+
+    return deployed_arm(context, arm, lambda: serving_plan(context, arm, workload), run)
 
 
 def _arms(context: Context) -> Sequence[Arm]:
--- a/bench/experiments/serving/cost.py
+++ b/bench/experiments/serving/cost.py
@@ -12,7 +12,9 @@
 from bench.experiments.serving.bare_fanout import BareFanout
 from bench.experiments.serving.cpu_use import CpuUse
 from bench.experiments.serving.serving_arm import TIER, ServingArm, arms_without
-from bench.experiments.serving.serving_run import measure, serving, settings_of, warm_up
+from bench.experiments.serving.serving_deployment import ServingDeployment
+from bench.experiments.serving.serving_run import measure, serving_plan, settings_of, warm_up
+from bench.experiments.serving.session import deployed_arm
 from bench.experiments.serving.workload import Workload
 from bench.experiments.target import Target, at_most
 
@@ -28,36 +30,34 @@
 def _arm(context: Context, arm: ServingArm) -> Arm:
     workload = SHORT if context.short else FULL
 
-    def run() -> Figures:
-        with serving(context, arm, workload) as deployment:
-            warm_up(context, workload, deployment)
-            cpu = CpuUse(deployment)
-            figures, run = measure(context, arm, workload, deployment)
-            entry_s = cpu.seconds("entry")
-            figures.update(_cost(entry_s, len(run.records), sizes.SERVICES * len(run.records)))
-            return figures
+    def run(deployment: ServingDeployment) -> Figures:
+        warm_up(context, workload, deployment)
+        cpu = CpuUse(deployment)
+        figures, run = measure(context, arm, workload, deployment)
+        entry_s = cpu.seconds("entry")
+        figures.update(_cost(entry_s, len(run.records), sizes.SERVICES * len(run.records)))
+        return figures
 
-    return Arm(arm.name, run)
+    return deployed_arm(context, arm, lambda: serving_plan(context, arm, workload), run)
 
 
 def _bare(context: Context) -> Arm:
     workload = SHORT if context.short else FULL
     arm = ServingArm("bare", TIER)
 
-    def run() -> Figures:
-        with serving(context, arm, workload) as deployment:
-            fanout = BareFanout(deployment.plan, context.seed)
-            fanout.run(workload.rate_per_s, workload.warm_up_s)
-            sent, started, use = fanout.sent, time.process_time(), CpuUse(deployment)
-            queries = fanout.run(workload.rate_per_s, workload.duration_s)
-            took_s = time.process_time() - started
-            figures = _cost(took_s, queries, fanout.sent - sent)
-            figures.update(use.figures())
-            figures["failed"] = fanout.failed
-            figures["settings"] = settings_of(arm, workload) | {"serving": "no entry, no decision"}
-            return figures
-
-    return Arm(arm.name, run)
+    def run(deployment: ServingDeployment) -> Figures:
+        fanout = BareFanout(deployment.plan, context.seed)
+        fanout.run(workload.rate_per_s, workload.warm_up_s)
+        sent, started, use = fanout.sent, time.process_time(), CpuUse(deployment)
+        queries = fanout.run(workload.rate_per_s, workload.duration_s)
+        took_s = time.process_time() - started
+        figures = _cost(took_s, queries, fanout.sent - sent)
+        figures.update(use.figures())
+        figures["failed"] = fanout.failed
+        figures["settings"] = settings_of(arm, workload) | {"serving": "no entry, no decision"}
+        return figures
+
+    return deployed_arm(context, arm, lambda: serving_plan(context, arm, workload), run)
 
 
 def _cost(cpu_s: float, queries: int, sub_requests: int) -> Figures:
--- a/bench/experiments/serving/overload.py
+++ b/bench/experiments/serving/overload.py
@@ -8,7 +8,9 @@
 from bench.experiments.figures import Figures, number
 from bench.experiments.serving.not_run_check import ran_after_all
 from bench.experiments.serving.serving_arm import ServingArm, arms_without
-from bench.experiments.serving.serving_run import measure, serving, warm_up
+from bench.experiments.serving.serving_deployment import ServingDeployment
+from bench.experiments.serving.serving_run import measure, serving_plan, warm_up
+from bench.experiments.serving.session import deployed_arm
 from bench.experiments.serving.workload import Workload
 from bench.experiments.target import Target, at_least, at_most
 
@@ -22,17 +24,16 @@
 def _arm(context: Context, arm: ServingArm) -> Arm:
     workload = SHORT if context.short else FULL
 
-    def run() -> Figures:
-        with serving(context, arm, workload) as deployment:
-            warm_up(context, workload, deployment)
-            figures, run = measure(context, arm, workload, deployment)
-            served_per_s = sum(item.full for item in run.records) / workload.duration_s
-            figures["goodput_queries_per_s"] = round(served_per_s, 2)
-            figures["goodput_ratio"] = round(served_per_s / workload.capacity_per_s, 4)
-            figures["not_run_that_ran"] = ran_after_all(run.records, deployment.executions())
-            return figures
-
-    return Arm(arm.name, run)
+    def run(deployment: ServingDeployment) -> Figures:
+        warm_up(context, workload, deployment)
+        figures, run = measure(context, arm, workload, deployment)
+        served_per_s = sum(item.full for item in run.records) / workload.duration_s
+        figures["goodput_queries_per_s"] = round(served_per_s, 2)
+        figures["goodput_ratio"] = round(served_per_s / workload.capacity_per_s, 4)
+        figures["not_run_that_ran"] = ran_after_all(run.records, deployment.executions())
+        return figures
+
+    return deployed_arm(context, arm, lambda: serving_plan(context, arm, workload), run)
 
 
 def _arms(context: Context) -> Sequence[Arm]:
--- a/bench/experiments/serving/serving_run.py
+++ b/bench/experiments/serving/serving_run.py
@@ -1,8 +1,6 @@
 """Runs one load against one deployment."""
 
-import contextlib
 import dataclasses
-from collections.abc import Iterator
 
 import msgspec
 
@@ -60,28 +58,6 @@
     return dataclasses.replace(plan, upstreams=upstreams)
 
 
-@contextlib.contextmanager
-def serving(context: Context, arm: ServingArm, workload: Workload) -> Iterator[ServingDeployment]:
-    """Run the deployment of an arm."""
-    with serving_with(context, arm, serving_plan(context, arm, workload)) as deployment:
-        yield deployment
-
-
-@contextlib.contextmanager
-def serving_with(
-    context: Context, arm: ServingArm, plan: DeploymentPlan
-) -> Iterator[ServingDeployment]:
-    """Run a deployment with a plan of its own."""
-    folder = context.folder / arm.name
-    folder.mkdir(parents=True, exist_ok=True)
-    deployment = ServingDeployment(plan, folder)
-    try:
-        deployment.start()
-        yield deployment
-    finally:
-        deployment.kill_all()
-
-
 def offered(
     context: Context, workload: Workload, deployment: ServingDeployment, prefix: str = "load"
 ) -> LoadSettings:
--- a/bench/experiments/serving/snapshot_switch.py
+++ b/bench/experiments/serving/snapshot_switch.py
@@ -13,7 +13,8 @@
 from bench.experiments.serving import sizes
 from bench.experiments.serving.serving_arm import ServingArm, arms_without
 from bench.experiments.serving.serving_deployment import ServingDeployment
-from bench.experiments.serving.serving_run import measure, seeded, serving_with, warm_up
+from bench.experiments.serving.serving_run import measure, seeded, warm_up
+from bench.experiments.serving.session import deployed_arm
 from bench.experiments.serving.workload import Workload
 from bench.experiments.target import Target, at_least, at_most
 from bench.load.answer_check import ServicesByEpoch
@@ -102,19 +103,17 @@
 def _arm(context: Context, arm: ServingArm) -> Arm:
     workload = SHORT if context.short else FULL
 
-    def run() -> Figures:
-        plan = _plan(context, arm, workload)
-        with serving_with(context, arm, plan) as deployment:
-            _prepare(deployment)
-            warm_up(context, workload, deployment)
-            switch = gevent.spawn(_Switch(deployment, workload.duration_s).run)
-            figures, run = measure(context, arm, workload, deployment, SERVICES)
-            switch.get()
-            seen = sorted({item.snapshot for item in run.records if item.snapshot})
-            figures["snapshots_seen"] = ", ".join(seen)
-            return figures
-
-    return Arm(arm.name, run)
+    def run(deployment: ServingDeployment) -> Figures:
+        _prepare(deployment)
+        warm_up(context, workload, deployment)
+        switch = gevent.spawn(_Switch(deployment, workload.duration_s).run)
+        figures, run = measure(context, arm, workload, deployment, SERVICES)
+        switch.get()
+        seen = sorted({item.snapshot for item in run.records if item.snapshot})
+        figures["snapshots_seen"] = ", ".join(seen)
+        return figures
+
+    return deployed_arm(context, arm, lambda: _plan(context, arm, workload), run)
 
 
 def _arms(context: Context) -> Sequence[Arm]:
--- a/bench/experiments/serving/stragglers.py
+++ b/bench/experiments/serving/stragglers.py
@@ -7,7 +7,9 @@
 from bench.experiments.experiment import Experiment
 from bench.experiments.figures import Figures, number
 from bench.experiments.serving.serving_arm import ServingArm, arms_without
-from bench.experiments.serving.serving_run import measure, serving, warm_up
+from bench.experiments.serving.serving_deployment import ServingDeployment
+from bench.experiments.serving.serving_run import measure, serving_plan, warm_up
+from bench.experiments.serving.session import deployed_arm
 from bench.experiments.serving.workload import Workload
 from bench.experiments.target import Target, at_least, at_most
 
@@ -35,12 +37,11 @@
 def _arm(context: Context, arm: ServingArm) -> Arm:
     workload = SHORT if context.short else FULL
 
-    def run() -> Figures:
-        with serving(context, arm, workload) as deployment:
-            warm_up(context, workload, deployment)
-            return measure(context, arm, workload, deployment)[0]
+    def run(deployment: ServingDeployment) -> Figures:
+        warm_up(context, workload, deployment)
+        return measure(context, arm, workload, deployment)[0]
 
-    return Arm(arm.name, run)
+    return deployed_arm(context, arm, lambda: serving_plan(context, arm, workload), run)
 
 
 def _arms(context: Context) -> Sequence[Arm]:
--- a/bench/experiments/serving/upstream_fault.py
+++ b/bench/experiments/serving/upstream_fault.py
@@ -22,10 +22,11 @@
 from bench.experiments.serving.serving_run import (
     load_figures,
     offered,
-    serving,
+    serving_plan,
     settings_of,
     warm_up,
 )
+from bench.experiments.serving.session import deployed_arm
 from bench.experiments.serving.workload import Workload
 from bench.experiments.target import Target, at_most
 from bench.load.generator import Generator
@@ -87,25 +88,24 @@
 def _arm(context: Context, arm: ServingArm) -> Arm:
     workload = SHORT if context.short else FULL
 
-    def run() -> Figures:
-        with serving(context, arm, workload) as deployment:
-            warm_up(context, workload, deployment)
-            before, cpu = deployment.counters(), CpuUse(deployment)
-            figures: Figures = {}
-            records: list[QueryRecord] = []
-            for fault in _faults(context, arm):
-                found = _phase(context, workload, deployment, fault)
-                figures.update(_phase_figures(fault.name, found))
-                records.extend(found)
-            figures.update(load_figures(records))
-            figures.update(cpu.figures())
-            totals = upstream_totals(before, deployment.counters())
-            figures["added_load_ratio"] = added_load_ratio(totals["arrived"], records)
-            figures["upstreams"] = totals
-            figures["settings"] = settings_of(arm, workload)
-            return figures
-
-    return Arm(arm.name, run)
+    def run(deployment: ServingDeployment) -> Figures:
+        warm_up(context, workload, deployment)
+        before, cpu = deployment.counters(), CpuUse(deployment)
+        figures: Figures = {}
+        records: list[QueryRecord] = []
+        for fault in _faults(context, arm):
+            found = _phase(context, workload, deployment, fault)
+            figures.update(_phase_figures(fault.name, found))
+            records.extend(found)
+        figures.update(load_figures(records))
+        figures.update(cpu.figures())
+        totals = upstream_totals(before, deployment.counters())
+        figures["added_load_ratio"] = added_load_ratio(totals["arrived"], records)
+        figures["upstreams"] = totals
+        figures["settings"] = settings_of(arm, workload)
+        return figures
+
+    return deployed_arm(context, arm, lambda: serving_plan(context, arm, workload), run)
 
 
 def _arms(context: Context) -> Sequence[Arm]:
