--- a/bench/experiments/arm.py
+++ b/bench/experiments/arm.py
@@ -14,8 +14,8 @@
 class Arm:
     """A named way of running the same load; `run` measures it.
 
-    All arms of an experiment are prepared before the first is run, so that
-    their processes can settle meanwhile, and all are closed at the end.
+    All arms of an experiment are prepared before the first is run, the last one
+    first, so that their processes can settle meanwhile; all are closed at the end.
     """
 
     name: str
--- a/bench/experiments/serving/overload.py
+++ b/bench/experiments/serving/overload.py
@@ -1,5 +1,6 @@
 """What is still served when twice the capacity is asked for."""
 
+import dataclasses
 from collections.abc import Mapping, Sequence
 
 from bench.experiments.arm import Arm
@@ -15,7 +16,7 @@
 from bench.experiments.target import Target, at_least, at_most
 
 FULL = Workload(load_factor=2.0, duration_s=30.0, warm_up_s=5.0, median_ms=80.0, deadline_ms=1_000)
-SHORT = Workload(load_factor=2.0, duration_s=6.0, warm_up_s=2.0, median_ms=80.0, deadline_ms=1_000)
+SHORT = dataclasses.replace(FULL, duration_s=5.0, warm_up_s=1.5)
 GOODPUT = 0.9
 ADDED_LOAD = 0.05
 REFUSAL_P99_MS = 50.0
--- a/bench/experiments/serving/serving_arm.py
+++ b/bench/experiments/serving/serving_arm.py
@@ -6,6 +6,7 @@
 
 NAIVE: Pairs = (("policy", "naive"),)
 TIER: Pairs = ()
+SHARES_OFF = ("shares", "off")
 
 
 @dataclass(frozen=True)
@@ -15,6 +16,11 @@
     name: str
     serving: Pairs
 
+    @property
+    def shares(self) -> bool:
+        """Tell whether entries divide the connections of upstreams among them."""
+        return self.serving != NAIVE and SHARES_OFF not in self.serving
+
 
 def arms_without(*switches: str) -> tuple[ServingArm, ...]:
     """Return naive, the tier without the mechanisms under test, and the tier as shipped."""
--- a/bench/experiments/serving/sizes.py
+++ b/bench/experiments/serving/sizes.py
@@ -15,6 +15,11 @@
 _MS_PER_S = 1_000.0
 
 
+def service_name(number: int) -> str:
+    """Return the name of a service by its number from 0."""
+    return f"{GROUP}-{number + 1:02d}"
+
+
 def capacity_queries_per_s(
     median_ms: float, straggler_ratio: float = 0.0, straggler_factor: float = 1.0
 ) -> float:
