--- a/packages/daemon/src/spindle_daemon/storage/record_codec.py
+++ b/packages/daemon/src/spindle_daemon/storage/record_codec.py
@@ -29,6 +29,13 @@
     sound_after: int | None
 
 
+class FoundRecords(msgspec.Struct, frozen=True):
+    """All sound records of a file, and how many bytes are part of none."""
+
+    bodies: tuple[bytes, ...]
+    skipped_bytes: int
+
+
 def encode_record(body: bytes, file_number: int, offset: int) -> bytes:
     """Frame a record for one place in one file.
 
@@ -55,6 +62,23 @@
     )
 
 
+def find_records(data: bytes, file_number: int) -> FoundRecords:
+    """Read every sound record of a file, also behind damaged ones."""
+    bodies: list[bytes] = []
+    sound_bytes = 0
+    offset = data.find(MARK)
+    while offset >= 0:
+        body = _read_record(data, file_number, offset)
+        if body is None:
+            offset = data.find(MARK, offset + 1)
+            continue
+        bodies.append(body)
+        size_bytes = HEADER_BYTES + len(body)
+        sound_bytes += size_bytes
+        offset = data.find(MARK, offset + size_bytes)
+    return FoundRecords(tuple(bodies), len(data) - sound_bytes)
+
+
 def _find_record(data: bytes, file_number: int, start: int) -> int | None:
     offset = data.find(MARK, start)
     while offset >= 0:
--- /dev/null
+++ b/tests/daemon/storage/test_blob_store.py
@@ -0,0 +1,104 @@
+"""Tests of the store of minute summaries."""
+
+import pathlib
+import tempfile
+import unittest
+
+from nose2.tools import params
+
+from spindle_daemon.storage.blob import Blob
+from spindle_daemon.storage.blob_key import BlobKey
+from spindle_daemon.storage.blob_limits import BlobLimits
+from spindle_daemon.storage.blob_store import open_blob_store
+from spindle_daemon.storage.os_file_access import create_file_access
+from spindle_decisions.exceptions import StorageError, SyncFailedError
+from tests.daemon.storage.common import fail_sync
+
+DAY = 20_000
+MINUTE = DAY * 1440
+
+
+def _key(day: int = DAY, minute: int = 0, instance: str = "e1") -> BlobKey:
+    return BlobKey(instance, 1, day * 1440 + minute)
+
+
+class TestBlobStore(unittest.TestCase):
+    def setUp(self) -> None:
+        holder = tempfile.TemporaryDirectory()
+        self.addCleanup(holder.cleanup)
+        self.path = pathlib.Path(holder.name) / "minutes"
+
+    def test_summaries_survive_and_the_same_key_counts_once(self) -> None:
+        store = open_blob_store(self.path)
+        store.put_all([Blob(_key(minute=2), b"two"), Blob(_key(DAY + 1), b"other day")])
+        store.put(_key(minute=1), b"early")
+        store.put(_key(minute=1), b"one")
+        for holder in (store, open_blob_store(self.path)):
+            day = holder.scan(DAY)
+            self.assertEqual([blob.data for blob in day.blobs], [b"one", b"two"])
+            self.assertEqual(holder.days(), (DAY, DAY + 1))
+            self.assertFalse(day.damaged)
+
+    def test_cut_at_every_byte_keeps_whole_summaries(self) -> None:
+        store = open_blob_store(self.path)
+        sizes = [0]
+        for minute in range(3):
+            store.put(_key(minute=minute), b"x" * minute)
+            sizes.append(next(self.path.iterdir()).stat().st_size)
+        file = next(self.path.iterdir())
+        content = file.read_bytes()
+        for size_bytes in range(sizes[-1] + 1):
+            file.write_bytes(content[:size_bytes])
+            whole = sum(end <= size_bytes for end in sizes[1:])
+            store = open_blob_store(self.path)
+            self.assertEqual(len(store.scan(DAY).blobs), whole)
+            store.put(_key(minute=9), b"next")
+            day = open_blob_store(self.path).scan(DAY)
+            self.assertEqual((len(day.blobs), day.damaged), (whole + 1, False))
+
+    def test_damage_in_the_middle_is_told(self) -> None:
+        store = open_blob_store(self.path)
+        for minute in range(3):
+            store.put(_key(minute=minute), b"data")
+        file = next(self.path.iterdir())
+        content = bytearray(file.read_bytes())
+        content[len(content) // 2] ^= 1
+        file.write_bytes(content)
+        day = open_blob_store(self.path).scan(DAY)
+        self.assertEqual((len(day.blobs), day.damaged), (2, True))
+
+    def test_oldest_days_are_dropped(self) -> None:
+        store = open_blob_store(self.path, limits=BlobLimits(max_days=2))
+        for day in range(DAY, DAY + 4):
+            store.put(_key(day), b"x")
+        self.assertEqual(store.days(), (DAY + 2, DAY + 3))
+        with self.assertRaisesRegex(StorageError, "no longer kept"):
+            store.put(_key(DAY), b"x")
+
+    @params((_key(DAY), 300), (_key(DAY + 1), 300), (_key(DAY + 1), 65))
+    def test_bounds_in_bytes_refuse_what_does_not_fit(self, key: BlobKey, size_bytes: int) -> None:
+        limits = BlobLimits(max_days=9, max_bytes=200, max_blob_bytes=64)
+        store = open_blob_store(self.path, limits=limits)
+        store.put(_key(DAY + 1), b"x" * 60)
+        with self.assertRaisesRegex(StorageError, "allowed are"):
+            store.put(key, b"x" * size_bytes)
+        with self.assertRaisesRegex(StorageError, "beside"):
+            store.put_all([Blob(_key(DAY, minute), b"x" * 40) for minute in range(2)])
+        store.put(_key(DAY + 2), b"x" * 60)
+        self.assertEqual(store.days(), (DAY + 2,))
+
+    def test_a_day_in_the_future_pushes_out_nothing(self) -> None:
+        store = open_blob_store(self.path, wall_clock=lambda: DAY * 86_400.0)
+        store.put(_key(DAY), b"x")
+        store.put(_key(DAY + 1), b"x")
+        with self.assertRaisesRegex(StorageError, "in the future"):
+            store.put(_key(DAY + 2), b"x")
+        self.assertEqual(store.days(), (DAY, DAY + 1))
+
+    def test_failed_sync_ends_all_work(self) -> None:
+        files = create_file_access(fail_sync)
+        store = open_blob_store(self.path, files)
+        with self.assertRaises(SyncFailedError):
+            store.put(_key(), b"x")
+        with self.assertRaisesRegex(SyncFailedError, "no further work"):
+            store.put(_key(), b"x")
--- /dev/null
+++ b/tests/daemon/storage/test_data_folder.py
@@ -0,0 +1,194 @@
+"""Tests of damaged, torn and locked data folders, and of failed syncs."""
+
+import pathlib
+import tempfile
+import unittest
+
+from nose2.tools import params
+
+from spindle_daemon.storage.data_folder import open_data_folder
+from spindle_daemon.storage.os_file_access import create_file_access
+from spindle_decisions.consensus.hard_state import HardState
+from spindle_decisions.consensus.persist_batch import PersistBatch
+from spindle_decisions.consensus.restored_state import RestoredState
+from spindle_decisions.exceptions import (
+    StorageDamagedError,
+    StorageError,
+    StorageLockedError,
+    SyncFailedError,
+)
+from tests.daemon.storage.common import copy_folder, entries, fail_sync, snapshot_at
+
+FIRST_LOG = "log-000000000001"
+
+
+class FolderTestCase(unittest.TestCase):
+    def setUp(self) -> None:
+        holder = tempfile.TemporaryDirectory()
+        self.addCleanup(holder.cleanup)
+        self.root = pathlib.Path(holder.name)
+        self.path = self.root / "folder"
+
+    def write(self, batches: int, max_segment_bytes: int = 1 << 20) -> list[int]:
+        """Write batches of one entry; return the size of the first log file after each."""
+        folder = open_data_folder(self.path, max_segment_bytes=max_segment_bytes)
+        folder.restore()
+        sizes = [(self.path / FIRST_LOG).stat().st_size]
+        for index in range(1, batches + 1):
+            folder.persist(PersistBatch(index, HardState(index, "a"), 0, entries(index, 1)))
+            sizes.append((self.path / FIRST_LOG).stat().st_size)
+        folder.close()
+        return sizes
+
+    def restore(self, path: pathlib.Path) -> RestoredState:
+        folder = open_data_folder(path)
+        try:
+            return folder.restore()
+        finally:
+            folder.close()
+
+    def copy(self, name: str) -> pathlib.Path:
+        target = self.root / name
+        copy_folder(self.path, target)
+        return target
+
+
+class TestEveryByte(FolderTestCase):
+    def test_log_cut_at_every_byte_keeps_whole_batches(self) -> None:
+        sizes = self.write(batches=3)
+        for size_bytes in range(sizes[-1] + 1):
+            copy = self.copy(f"cut-{size_bytes}")
+            with (copy / FIRST_LOG).open("r+b") as file:
+                file.truncate(size_bytes)
+            whole = max(
+                [number for number, end in enumerate(sizes) if end <= size_bytes], default=0
+            )
+            state = self.restore(copy)
+            self.assertEqual(state.entries, entries(1, whole))
+            self.assertEqual(state.hard_state.term, whole)
+            self.assertEqual(self.restore(copy), state)
+
+    def test_damage_at_every_byte_is_refused_or_cuts_the_last_batch(self) -> None:
+        sizes = self.write(batches=3)
+        starts = dict(enumerate(sizes[:-1]))
+        content = (self.path / FIRST_LOG).read_bytes()
+        for position in range(sizes[-1]):
+            copy = self.copy(f"flip-{position}")
+            damaged = bytearray(content)
+            damaged[position] ^= 0x40
+            (copy / FIRST_LOG).write_bytes(damaged)
+            start = max([0, *(at for at in starts.values() if at <= position)])
+            if start == sizes[-2]:
+                self.assertEqual(self.restore(copy).entries, entries(1, 2))
+                continue
+            with self.assertRaisesRegex(StorageDamagedError, f"{FIRST_LOG}: .* offset {start}$"):
+                self.restore(copy)
+
+
+class TestDamage(FolderTestCase):
+    @params(
+        ("log-000000000002", None, "log-000000000002: missing"),
+        ("log-000000000002", b"", "offset 0"),
+        (FIRST_LOG, None, "log-000000000001: missing"),
+        ("identity", None, "identity: missing beside"),
+        ("identity", b"", "identity: damaged at offset 0"),
+    )
+    def test_file_missing_or_emptied(self, name: str, data: bytes | None, text: str) -> None:
+        self.write(batches=6, max_segment_bytes=150)
+        if data is None:
+            (self.path / name).unlink()
+        else:
+            (self.path / name).write_bytes(data)
+        with self.assertRaisesRegex(StorageDamagedError, text):
+            self.restore(self.path)
+
+    def test_earlier_log_file_shortened_by_whole_records(self) -> None:
+        sizes = self.write(batches=6, max_segment_bytes=300)
+        self.assertLess(sizes[1], sizes[-1])
+        with (self.path / FIRST_LOG).open("r+b") as file:
+            file.truncate(sizes[1])
+        with self.assertRaisesRegex(StorageDamagedError, "the file before has"):
+            self.restore(self.path)
+
+    def test_damaged_newest_snapshot_is_refused(self) -> None:
+        self.write(batches=2)
+        folder = open_data_folder(self.path)
+        folder.restore()
+        folder.save_snapshot(snapshot_at(1))
+        folder.save_snapshot(snapshot_at(2))
+        folder.close()
+        newest = sorted(self.path.glob("snapshot-*"))[-1]
+        newest.write_bytes(newest.read_bytes()[:-1])
+        with self.assertRaisesRegex(StorageDamagedError, newest.name):
+            self.restore(self.path)
+
+
+class TestFolder(FolderTestCase):
+    def test_second_holder_is_refused_until_the_first_closes(self) -> None:
+        folder = open_data_folder(self.path)
+        with self.assertRaisesRegex(StorageLockedError, "lock"):
+            open_data_folder(self.path)
+        folder.close()
+        self.assertEqual(self.restore(self.path).folder_id, folder.folder_id)
+
+    def test_emptied_folder_gets_another_id(self) -> None:
+        first = self.restore(self.path).folder_id
+        for path in self.path.iterdir():
+            path.unlink()
+        self.assertNotEqual(self.restore(self.path).folder_id, first)
+
+    def test_two_snapshots_and_no_covered_log_file_are_kept(self) -> None:
+        self.write(batches=9, max_segment_bytes=150)
+        folder = open_data_folder(self.path)
+        folder.restore()
+        for index in (3, 6, 9):
+            folder.save_snapshot(snapshot_at(index))
+        folder.close()
+        self.assertEqual(len(list(self.path.glob("snapshot-*"))), 2)
+        self.assertEqual(len(list(self.path.glob("log-*"))), 1)
+        state = self.restore(self.path)
+        self.assertEqual((state.snapshot, state.entries), (snapshot_at(9), ()))
+        self.assertEqual(state.hard_state, HardState(9, "a"))
+
+    def test_snapshot_may_run_ahead_of_the_log(self) -> None:
+        self.write(batches=2)
+        folder = open_data_folder(self.path)
+        folder.restore()
+        folder.save_snapshot(snapshot_at(5))
+        folder.persist(PersistBatch(1, entries=entries(3, 4)))
+        folder.close()
+        self.assertEqual(self.restore(self.path).entries, entries(6, 1))
+
+    @params(
+        (PersistBatch(1, entries=entries(5, 1)),),
+        (PersistBatch(1, entries=entries(2, 1)),),
+        (PersistBatch(1, truncate_from=2),),
+        (PersistBatch(1, snapshot=snapshot_at(2)),),
+        (PersistBatch(1, snapshot=snapshot_at(9), entries=entries(12, 1)),),
+    )
+    def test_batch_that_does_not_follow_is_refused_and_changes_nothing(
+        self, batch: PersistBatch
+    ) -> None:
+        self.write(batches=3)
+        folder = open_data_folder(self.path)
+        folder.restore()
+        folder.save_snapshot(snapshot_at(2))
+        with self.assertRaises(StorageError):
+            folder.persist(batch)
+        folder.persist(PersistBatch(2, entries=entries(4, 1)))
+        folder.close()
+        self.assertEqual(self.restore(self.path).entries, entries(3, 2))
+
+    def test_failed_sync_ends_all_work(self) -> None:
+        files = create_file_access()
+        folder = open_data_folder(self.path, files)
+        folder.restore()
+        files.sync_function = fail_sync
+        with self.assertRaises(SyncFailedError):
+            folder.persist(PersistBatch(1, HardState(1, "a")))
+        files.sync_function = create_file_access().sync_function
+        with self.assertRaisesRegex(SyncFailedError, "no further work"):
+            folder.persist(PersistBatch(2, HardState(1, "a")))
+        with self.assertRaisesRegex(SyncFailedError, "no further work"):
+            folder.save_snapshot(snapshot_at(1))
+        folder.close()
