Ask peers for the catalog after a start

A restarted entry in a cut-off data centre took the version of its isolated control instance although its neighbours held a newer one. Until it is ready an instance now also asks the entries of [peers] and those that a control instance names, and it waits out the start-up time unless every control instance answered and none was stale.

--- a/bench/fault_links.py
+++ b/bench/fault_links.py
@@ -72,6 +72,14 @@
             if (link.source in side) != (link.control in side):
                 self.cut(link.source, link.control)
 
+    def heal_within(self, side: frozenset[str]) -> None:
+        """End the cuts between the named instances only."""
+        for link in self.links:
+            if link.source in side and link.control in side:
+                self._post(
+                    {"link": link.name, "cut_forward": False, "cut_backward": False, "reset": True}
+                )
+
     def cut(self, source: str, control: str) -> None:
         """Hold everything that an instance sends to a control instance."""
         self._post({"link": f"{source}>{control}", "cut_forward": True, "cut_backward": True})
--- a/packages/daemon/src/spindle_daemon/components/control_link/control_choice.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/control_choice.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from spindle_daemon.components.control_link.const import ACK_TIMEOUT_S, MOVE_BACK_S
-from spindle_daemon.settings.control_address import ControlAddress
+from spindle_daemon.settings.instance_address import InstanceAddress
 from spindle_decisions.wire.heartbeat_ack import HeartbeatAck
 
 
@@ -11,7 +11,7 @@
 class ControlView:
     """What was last heard of one control instance, in monotonic seconds."""
 
-    address: ControlAddress
+    address: InstanceAddress
     data_center: str = ""
     stale: bool = False
     heard_at: float | None = None
@@ -26,7 +26,7 @@
     """
 
     def __init__(
-        self, addresses: tuple[ControlAddress, ...], data_center: str, now: float, first: int
+        self, addresses: tuple[InstanceAddress, ...], data_center: str, now: float, first: int
     ) -> None:
         self.data_center = data_center
         self.views = {item.name: ControlView(item) for item in addresses}
@@ -98,7 +98,7 @@
     def _distance(self, view: ControlView) -> tuple[bool, str]:
         return (view.data_center != self.data_center, view.address.name)
 
-    def _take(self, now: float, address: ControlAddress) -> None:
+    def _take(self, now: float, address: InstanceAddress) -> None:
         self.current = address
         self.chosen_at = now
         self.near_since = None
--- a/packages/daemon/src/spindle_daemon/components/control_link/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/coordinator.py
@@ -27,7 +27,8 @@
     Every control instance is asked in turn while the current one is in doubt,
     and one of the others with each heartbeat otherwise, so that the choice
     always rests on recent answers. The instance becomes ready once it has a
-    catalog and had the time to hear of a newer one.
+    catalog and had the time to hear of a newer one from control instances and
+    from other entry instances.
     """
 
     def __init__(self, spindle: Spindle, holder: CatalogHolder, fetcher: CatalogFetcher) -> None:
@@ -69,6 +70,8 @@
         for address in self._round_addresses(now):
             attached = address == self.choice.current.address
             self.spindle.transport.send(address, self._heartbeat(attached))
+        if not self.spindle.ready:
+            self._ask_peers()
         self.round += 1
         self._check_ready(now)
 
@@ -86,6 +89,13 @@
         other = everyone[self.round % len(everyone)]
         return [current] if other == current else [current, other]
 
+    def _ask_peers(self) -> None:
+        """Ask other entry instances, which may hold more than a cut-off control instance."""
+        known = {peer.address for peer in self.spindle.settings.peers}
+        known.update(item.mesh_address for item in self.live)
+        for address in known - {self.spindle.settings.mesh.advertise}:
+            self.fetcher.ask(address, full=False)
+
     def _heartbeat(self, attached: bool) -> Heartbeat:
         return Heartbeat(
             live=self._self(),
@@ -110,7 +120,8 @@
 
     def _handle_ack(self, _sender: str, ack: HeartbeatAck) -> None:
         now = self.spindle.clock.now()
-        self.heard.add(ack.control)
+        if not ack.stale:
+            self.heard.add(ack.control)
         self.choice.acked(now, ack)
         self._learn(ack.control, ack.config_version, ack.config_digest)
         if ack.config_version == self.holder.catalog.version and not ack.stale:
@@ -138,11 +149,14 @@
             return
         if not self.holder.catalog.version:
             return
-        if now - self.started_at < STARTUP_WAIT_S and len(self.heard) < len(self.addresses):
+        if now - self.started_at < STARTUP_WAIT_S and not self._heard_all_fresh():
             return
         self.spindle.ready = True
         _LOGGER.info("link: ready with config version %s", self.holder.catalog.version)
 
+    def _heard_all_fresh(self) -> bool:
+        return len(self.heard) == len(self.addresses)
+
     def _tell_move(self) -> None:
         name = self.choice.current.name
         _LOGGER.info("link: moved to control instance %s", name)
--- a/packages/daemon/src/spindle_daemon/settings/const.py
+++ b/packages/daemon/src/spindle_daemon/settings/const.py
@@ -7,6 +7,7 @@
 SECTION_SERVING = "serving"
 SECTION_CONTROL = "control"
 SECTION_CONTROLS = "controls"
+SECTION_PEERS = "peers"
 
 CONF_NAME = "name"
 CONF_DATA_CENTER = "data-center"
--- a/packages/daemon/src/spindle_daemon/settings/loader.py
+++ b/packages/daemon/src/spindle_daemon/settings/loader.py
@@ -7,9 +7,9 @@
 import voluptuous as vol
 
 from spindle_daemon.settings import const, schema
-from spindle_daemon.settings.control_address import ControlAddress
 from spindle_daemon.settings.control_settings import ControlSettings
 from spindle_daemon.settings.entry_settings import EntrySettings
+from spindle_daemon.settings.instance_address import InstanceAddress
 from spindle_daemon.settings.instance_settings import InstanceSettings
 from spindle_daemon.settings.mesh_settings import MeshSettings
 from spindle_daemon.settings.serving_settings import ServingSettings
@@ -24,6 +24,7 @@
     const.SECTION_SERVING,
     const.SECTION_CONTROL,
     const.SECTION_CONTROLS,
+    const.SECTION_PEERS,
 )
 MAX_CONTROLS = 7
 
@@ -50,6 +51,7 @@
         ),
         admin=admin[const.CONF_LISTEN],
         controls=_controls(parser),
+        peers=_addresses(parser, const.SECTION_PEERS),
         serving=_serving(_section(parser, const.SECTION_SERVING, schema.SERVING_SCHEMA)),
         entry=_entry(parser, instance),
         control=_control(parser, instance),
@@ -150,11 +152,16 @@
     )
 
 
-def _controls(parser: configparser.ConfigParser) -> tuple[ControlAddress, ...]:
-    values = _section(parser, const.SECTION_CONTROLS, schema.CONTROLS_SCHEMA)
-    if not 0 < len(values) <= MAX_CONTROLS:
+def _controls(parser: configparser.ConfigParser) -> tuple[InstanceAddress, ...]:
+    controls = _addresses(parser, const.SECTION_CONTROLS)
+    if not 0 < len(controls) <= MAX_CONTROLS:
         raise SettingsError(
-            f"[{const.SECTION_CONTROLS}] has {len(values)} entries: "
+            f"[{const.SECTION_CONTROLS}] has {len(controls)} entries: "
             f"allowed: 1 to {MAX_CONTROLS} lines NAME = tcp://IP:PORT"
         )
-    return tuple(ControlAddress(key, values[key]) for key in sorted(values))
+    return controls
+
+
+def _addresses(parser: configparser.ConfigParser, section: str) -> tuple[InstanceAddress, ...]:
+    values = _section(parser, section, schema.ADDRESSES_SCHEMA)
+    return tuple(InstanceAddress(key, values[key]) for key in sorted(values))
--- a/packages/daemon/src/spindle_daemon/settings/schema.py
+++ b/packages/daemon/src/spindle_daemon/settings/schema.py
@@ -143,4 +143,4 @@
         **_switch_on(const.CONF_GROUP_COMMIT),
     }
 )
-CONTROLS_SCHEMA = vol.Schema({name: mesh_address})
+ADDRESSES_SCHEMA = vol.Schema({name: mesh_address})
--- a/packages/daemon/src/spindle_daemon/settings/settings.py
+++ b/packages/daemon/src/spindle_daemon/settings/settings.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
-from spindle_daemon.settings.control_address import ControlAddress
 from spindle_daemon.settings.control_settings import ControlSettings
 from spindle_daemon.settings.endpoint import Endpoint
 from spindle_daemon.settings.entry_settings import EntrySettings
+from spindle_daemon.settings.instance_address import InstanceAddress
 from spindle_daemon.settings.instance_settings import InstanceSettings
 from spindle_daemon.settings.mesh_settings import MeshSettings
 from spindle_daemon.settings.serving_settings import ServingSettings
@@ -16,12 +16,14 @@
     """The checked settings of one process.
 
     `entry` is present for the role `entry`, `control` for the role `control`.
+    `peers` are other entry instances to ask for the catalog after a start.
     """
 
     instance: InstanceSettings
     mesh: MeshSettings
     admin: Endpoint
-    controls: tuple[ControlAddress, ...]
+    controls: tuple[InstanceAddress, ...]
     serving: ServingSettings
     entry: EntrySettings | None
     control: ControlSettings | None
+    peers: tuple[InstanceAddress, ...] = ()
--- a/tests/daemon/control_link/test_control_choice.py
+++ b/tests/daemon/control_link/test_control_choice.py
@@ -4,10 +4,10 @@
 
 from spindle_daemon.components.control_link.const import ACK_TIMEOUT_S, MOVE_BACK_S
 from spindle_daemon.components.control_link.control_choice import ControlChoice
-from spindle_daemon.settings.control_address import ControlAddress
+from spindle_daemon.settings.instance_address import InstanceAddress
 from spindle_decisions.wire.heartbeat_ack import HeartbeatAck
 
-ADDRESSES = tuple(ControlAddress(name, f"tcp://{name}") for name in ("c1", "c2", "c3"))
+ADDRESSES = tuple(InstanceAddress(name, f"tcp://{name}") for name in ("c1", "c2", "c3"))
 STEP_S = 0.5
 
 
--- a/tests/integration/test_isolation.py
+++ b/tests/integration/test_isolation.py
@@ -32,6 +32,11 @@
         body: dict[str, object] = self.deployment.operator(name).get("/v1/status").body
         return body
 
+    def _freeze_far_entries(self) -> None:
+        """Keep the entries of the other data centres from answering a peer."""
+        for name in ("entry-2", "entry-3"):
+            self.deployment.processes[name].freeze()
+
     def _follower(self) -> str:
         leader = self.deployment.leader()
         return next(c.name for c in self.deployment.plan.controls if c.name != leader)
@@ -90,6 +95,7 @@
         note = files.small_note(2, 111)
         self.apply_until_accepted(self.deployment, note, "control-2")
         self.wait_versions(self.deployment, 2, ["entry-2", "entry-3"])
+        self._freeze_far_entries()
         self.deployment.processes["entry-1"].kill()
         self.deployment.start_instance("entry-1")
         self.deployment.wait_ready("entry-1")
@@ -102,5 +108,27 @@
         self.assertEqual(answer.body["config_version"], 1)
         self.assertGreater(answer.body["config_age_s"], 0.0)
         self.links.heal()
+        for name in ("entry-2", "entry-3"):
+            self.deployment.processes[name].wake()
         self.wait_versions(self.deployment, 2, ENTRIES)
         self.assertEqual(caller.query("comptoir").body["config_version"], 2)
+
+    def test_restarted_entry_takes_the_newest_version_from_a_peer(self) -> None:
+        lonely = self._follower()
+        self.links.isolate(lonely)
+        leader = self.deployment.leader()
+        self.apply_until_accepted(self.deployment, files.small_note(2, 111), leader)
+        self.wait_versions(self.deployment, 2, ENTRIES)
+        side = frozenset({lonely, "entry-1", "entry-2"})
+        self.links.heal_within(side)
+        self.links.split(side)
+        self.deployment.processes["entry-1"].kill()
+        self.deployment.start_instance("entry-1")
+        self.deployment.wait_ready("entry-1")
+        self.assertEqual(self._status(lonely)["version"], 1)
+        caller = Caller(self.deployment.plan.entries[0].entry_port)
+        answer = self.deployment.wait_until(
+            lambda: found if (found := caller.query("comptoir")).status == 200 else None,
+            "the restarted entry to serve",
+        )
+        self.assertEqual(answer.body["config_version"], 2)
