--- a/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
+++ b/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
@@ -1,20 +1,18 @@
 """The driver that connects agreement with network, disk and state."""
 
 import logging
-import os
-import signal
 from collections.abc import Callable
 
 import gevent
 import msgspec
 from gevent.queue import Queue
-from spindle_decisions.state.replicated_state import ReplicatedState
 
 from spindle_daemon.components.control.const import TICK_S
 from spindle_daemon.components.control.folder_writer import FolderWriter
 from spindle_daemon.components.control.proposal_book import ProposalBook, ResultListener
 from spindle_daemon.core.clock import Clock
 from spindle_daemon.core.timeline_sink import TimelineSink
+from spindle_daemon.helpers.fatal import stop_process
 from spindle_decisions.commands.command import Result, decode_command
 from spindle_decisions.consensus.entry_kind import EntryKind
 from spindle_decisions.consensus.log_entry import LogEntry
@@ -23,6 +21,7 @@
 from spindle_decisions.consensus.raft_node import RaftNode
 from spindle_decisions.consensus.snapshot import Snapshot
 from spindle_decisions.exceptions import StorageError
+from spindle_decisions.state.replicated_state import ReplicatedState
 from spindle_decisions.timeline.event_kind import EventKind
 from spindle_decisions.wire.raft_packet import RaftPacket
 
@@ -115,7 +114,7 @@
             try:
                 self.writer.persist(batch)
             except StorageError as err:
-                _stop_now(err)
+                stop_process(err)
                 return
             self.node.persisted(self.clock.now(), batch.seq)
             self.pump()
@@ -157,15 +156,9 @@
         try:
             self.writer.save_snapshot(snapshot)
         except StorageError as err:
-            _stop_now(err)
+            stop_process(err)
             return
         self.snapshot_index = max(self.snapshot_index, snapshot.index)
         self.node.compacted(snapshot)
         self.saving = False
         _LOGGER.info("storage: snapshot at index %s", snapshot.index)
-
-
-def _stop_now(err: StorageError) -> None:
-    _LOGGER.critical("storage: %s; the process stops", err)
-    logging.shutdown()
-    os.kill(os.getpid(), signal.SIGKILL)
--- a/packages/daemon/src/spindle_daemon/daemon.py
+++ b/packages/daemon/src/spindle_daemon/daemon.py
@@ -11,12 +11,13 @@
 from spindle_daemon.components import admin, control, control_link, process_metrics, timeline
 from spindle_daemon.components import entry_http as entry_http_component
 from spindle_daemon.components import serving as serving_component
-from spindle_daemon.components.account.memory_sink import MemorySink
+from spindle_daemon.components.account.folder_sink import FolderSink
 from spindle_daemon.core.clock import SystemClock
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.mesh.transport import Transport
 from spindle_daemon.settings.const import ROLE_CONTROL
 from spindle_daemon.settings.settings import Settings
+from spindle_daemon.storage.blob_store import open_blob_store
 from spindle_decisions.exceptions import FrameError, SettingsError
 from spindle_decisions.timeline.event_kind import EventKind
 from spindle_decisions.timeline.hybrid_clock import HybridClock
@@ -25,6 +26,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 MIN_KEY_BYTES = 16
+SUMMARY_FOLDER = "summaries"
 
 
 def run(settings: Settings) -> None:
@@ -66,10 +68,11 @@
 def _setup_role(spindle: Spindle, key: bytes) -> None:
     app = admin.setup(spindle, key)
     timeline.register(spindle, app)
-    if spindle.settings.instance.role == ROLE_CONTROL:
+    settings = spindle.settings
+    if settings.instance.role == ROLE_CONTROL:
         folder = control.setup(spindle, app)
         spindle.on_stop(folder.close)
-        account_component.setup_control(spindle, app, MemorySink())
+        account_component.setup_control(spindle, app, _summary_sink(settings))
         return
     link = control_link.setup(spindle)
     spindle.on_stop(link.leave)
@@ -78,6 +81,11 @@
     entry_http_component.setup(spindle, coordinator)
 
 
+def _summary_sink(settings: Settings) -> FolderSink:
+    assert settings.instance.data_dir is not None
+    return FolderSink(open_blob_store(settings.instance.data_dir / SUMMARY_FOLDER))
+
+
 def _wait_for_signal() -> None:
     stop = Event()
     gevent.signal_handler(signal.SIGTERM, stop.set)
