--- a/packages/daemon/src/spindle_daemon/components/control/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/control/__init__.py
@@ -1,7 +1,6 @@
 """A control instance: agreement, storage, catalog feed, membership and operators."""
 
 import gevent
-from spindle_decisions.state.replicated_state import create_replicated_state
 
 from spindle_daemon.components.admin.admin_app import AdminApp
 from spindle_daemon.components.control.folder_writer import FolderWriter
@@ -19,6 +18,7 @@
 from spindle_decisions.consensus.raft_node import RaftNode, create_raft_node
 from spindle_decisions.consensus.restored_state import RestoredState
 from spindle_decisions.consensus.settings import RaftSettings
+from spindle_decisions.state.replicated_state import create_replicated_state
 from spindle_decisions.timeline.event_kind import EventKind
 from spindle_decisions.wire.fetch_config import FetchConfig
 from spindle_decisions.wire.raft_packet import RaftPacket
--- a/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
+++ b/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
@@ -8,7 +8,6 @@
 import gevent
 import msgspec
 from gevent.queue import Queue
-from spindle_decisions.state.replicated_state import ReplicatedState
 
 from spindle_daemon.components.control.const import TICK_S
 from spindle_daemon.components.control.folder_writer import FolderWriter
@@ -23,6 +22,7 @@
 from spindle_decisions.consensus.raft_node import RaftNode
 from spindle_decisions.consensus.snapshot import Snapshot
 from spindle_decisions.exceptions import StorageError
+from spindle_decisions.state.replicated_state import ReplicatedState
 from spindle_decisions.timeline.event_kind import EventKind
 from spindle_decisions.wire.raft_packet import RaftPacket
 
--- a/packages/daemon/src/spindle_daemon/storage/blob_store.py
+++ b/packages/daemon/src/spindle_daemon/storage/blob_store.py
@@ -101,6 +101,12 @@
         blobs = sorted(newest.values(), key=_order)
         return BlobDay(day, tuple(blobs), found.skipped_bytes > 0)
 
+    def forget(self, day: int) -> None:
+        """Remove the summaries of a day."""
+        if day in self._sizes:
+            self._files.unlink(self._path_of(day))
+            del self._sizes[day]
+
     def load(self) -> None:
         """Find the files of the days and cut torn tails."""
         for path in self._folder.iterdir():
@@ -166,8 +172,7 @@
             within_days = oldest > newest - self.limits.max_days
             if within_days and sum(self._sizes.values()) <= self.limits.max_bytes:
                 return
-            self._files.unlink(self._path_of(oldest))
-            del self._sizes[oldest]
+            self.forget(oldest)
             _LOGGER.info("storage: dropped the minute summaries of day %s", oldest)
 
     def _path_of(self, day: int) -> pathlib.Path:
--- a/packages/daemon/src/spindle_daemon/storage/data_folder.py
+++ b/packages/daemon/src/spindle_daemon/storage/data_folder.py
@@ -5,6 +5,8 @@
 import pathlib
 from collections.abc import Iterator
 
+import msgspec
+
 from spindle_daemon.storage.const import FOLDER_MODE, MAX_SEGMENT_BYTES, SUFFIX_TEMPORARY
 from spindle_daemon.storage.file_access import FileAccess
 from spindle_daemon.storage.folder_lock import FolderLock, lock_folder
@@ -82,25 +84,37 @@
         """
         with self._one_call():
             self._check_restored()
+            snapshot = batch.snapshot
             record = JournalBatch(batch.truncate_from, batch.entries, batch.hard_state)
-            self._check(record, batch.snapshot)
-            if batch.snapshot is not None:
-                self._install(batch.snapshot, batch.hard_state)
+            if snapshot is not None and snapshot.index <= self._journal.position.covered_index:
+                record = _without_snapshot(record, snapshot)
+                snapshot = None
+            self._check(record, snapshot)
+            if snapshot is not None:
+                self._install(snapshot, batch.hard_state)
             if record.truncate_from or record.entries or record.hard_state is not None:
                 self._journal.append(record)
 
     def save_snapshot(self, snapshot: Snapshot) -> None:
         """Save a snapshot of the own state, then drop the log files that it covers.
 
-        A snapshot that is not newer than the one in place is ignored.
+        The state may be ahead of the disk: entries that a majority holds are
+        applied while the own write of them waits. If the log on disk does not
+        hold the entry of the snapshot, what is behind it there was replaced
+        already, and the log goes on in a new file. A snapshot that is not newer
+        than the one in place is ignored.
         """
         with self._one_call():
             self._check_restored()
-            if snapshot.index <= self._journal.position.covered_index:
+            position = self._journal.position
+            if snapshot.index <= position.covered_index:
+                return
+            if position.term_at(snapshot.index) != snapshot.term:
+                self._install(snapshot, None)
                 return
             first_segment = self._journal.first_needed(snapshot.index)
             self._snapshots.save(StoredSnapshot(first_segment, snapshot))
-            self._journal.position.covered_index = snapshot.index
+            position.cover(snapshot.index)
             self._journal.remove_before(first_segment)
 
     def close(self) -> None:
@@ -110,22 +124,12 @@
 
     def _check(self, record: JournalBatch, snapshot: Snapshot | None) -> None:
         position = self._journal.position
-        covered_index = position.covered_index
         if snapshot is not None:
-            if snapshot.index <= covered_index:
-                raise StorageError(
-                    f"snapshot at entry {snapshot.index} is not newer than that at {covered_index}"
-                )
-            covered_index = snapshot.index
-            position = LogPosition(covered_index)
-        if 0 < record.truncate_from <= covered_index:
-            raise StorageError(
-                f"truncation from entry {record.truncate_from}, the snapshot covers {covered_index}"
-            )
+            position = LogPosition(snapshot.index)
         position.check(record)
 
     def _install(self, snapshot: Snapshot, hard_state: HardState | None) -> None:
-        """Replace log and state by a snapshot of the leader.
+        """Replace log and state by a snapshot.
 
         The new log file comes first, then the snapshot that makes it the only
         one in force: a crash between the two leaves the old state in force.
@@ -133,8 +137,8 @@
         position = self._journal.position
         first_segment = self._journal.roll(hard_state or position.hard_state)
         self._snapshots.save(StoredSnapshot(first_segment, snapshot))
-        position.covered_index = snapshot.index
-        position.last_index = 0
+        position.cover(snapshot.index)
+        position.clear()
         self._journal.remove_before(first_segment)
 
     def _check_restored(self) -> None:
@@ -194,3 +198,14 @@
         raise
     journal = create_journal(access, path, max_segment_bytes)
     return DataFolder(identity.folder_id, lock, journal, SnapshotFiles(access, path))
+
+
+def _without_snapshot(record: JournalBatch, snapshot: Snapshot) -> JournalBatch:
+    """Return what is left of a batch whose snapshot a newer one overtook.
+
+    Its snapshot would have replaced the log, so the log still ends there.
+    """
+    truncate_from = snapshot.index + 1
+    if record.truncate_from:
+        truncate_from = min(truncate_from, record.truncate_from)
+    return msgspec.structs.replace(record, truncate_from=truncate_from)
--- a/tests/daemon/storage/common.py
+++ b/tests/daemon/storage/common.py
@@ -137,6 +137,9 @@
         covered = self.snapshot.index if self.snapshot else 0
         return self.entries[-1].index if self.entries else covered
 
+    def term_at(self, index: int) -> int | None:
+        return next((entry.term for entry in self.entries if entry.index == index), None)
+
     def matches(self, state: RestoredState) -> bool:
         own = (self.hard_state, self.snapshot, self.entries)
         return own == (state.hard_state, state.snapshot, state.entries)
@@ -157,6 +160,8 @@
     def save_snapshot(self, snapshot: Snapshot) -> list["Model"]:
         """Return the states that a crash may leave; the last one is the finished one."""
         kept = tuple(entry for entry in self.entries if entry.index > snapshot.index)
+        if self.term_at(snapshot.index) != snapshot.term:
+            kept = ()
         return [self, Model(self.hard_state, snapshot, kept)]
 
 
--- a/tests/daemon/storage/test_blob_store.py
+++ b/tests/daemon/storage/test_blob_store.py
@@ -11,6 +11,7 @@
 from spindle_daemon.storage.blob_limits import BlobLimits
 from spindle_daemon.storage.blob_store import open_blob_store
 from spindle_daemon.storage.os_file_access import create_file_access
+from spindle_daemon.storage.summary_files import create_summary_files
 from spindle_decisions.exceptions import StorageError, SyncFailedError
 from tests.daemon.storage.common import fail_sync
 
@@ -22,6 +23,19 @@
     return BlobKey(instance, 1, day * 1440 + minute)
 
 
+class TestSummaryFiles(unittest.TestCase):
+    def test_minutes_and_days_survive_until_forgotten(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            files = create_summary_files(pathlib.Path(folder))
+            for minute in (MINUTE - 1, MINUTE, MINUTE + 1):
+                files.put("e1", 1, minute, b"%d" % (minute - MINUTE))
+            files = create_summary_files(pathlib.Path(folder))
+            self.assertEqual(files.load(MINUTE - 1, MINUTE), (b"-1", b"0"))
+            self.assertEqual(files.days(), ("2024-10-03", "2024-10-04"))
+            files.forget("2024-10-03")
+            self.assertEqual(files.load(MINUTE - 1, MINUTE), (b"0",))
+
+
 class TestBlobStore(unittest.TestCase):
     def setUp(self) -> None:
         holder = tempfile.TemporaryDirectory()
