--- /dev/null
+++ b/bench/claim_trial.py
@@ -0,0 +1,192 @@
+"""Compares rules for claims: how many requests run twice, and what resends are told.
+
+Each request is sent up to four times by its caller. Entries die before or after
+they send it, upstreams say that it did not run, and records come late or twice.
+Example: `python -m bench.claim_trial --seed 1`.
+"""
+
+import enum
+import random
+import uuid
+from collections.abc import Callable
+from typing import Annotated
+
+import msgspec
+import typer
+
+from spindle_decisions.claims.claim_table import ClaimTable, create_claim_table
+from spindle_decisions.commands.claim_granted import ClaimGranted
+from spindle_decisions.commands.claim_held import ClaimHeld
+from spindle_decisions.commands.claim_run import ClaimRun
+from spindle_decisions.commands.record_outcome import RecordOutcome
+
+START_MS = 1_790_000_000_000
+REQUESTS = 20_000
+ATTEMPTS = ("a", "b", "c", "d")
+FAULT_RATIO = 0.1
+LATE_RATIO = 0.2
+TWICE_RATIO = 0.2
+
+
+class Fate(enum.Enum):
+    """What happens to a dispatch."""
+
+    DIED_BEFORE = 0
+    NOT_RUN = 1
+    DIED_AFTER = 2
+    ANSWERED = 3
+
+
+ANSWERS = {
+    Fate.DIED_BEFORE: "unknown",
+    Fate.NOT_RUN: "not run",
+    Fate.DIED_AFTER: "unknown",
+    Fate.ANSWERED: "known",
+}
+
+
+class Tally(msgspec.Struct):
+    """What became of the requests under one rule."""
+
+    run_twice: int = 0
+    told_two_outcomes: int = 0
+    known: int = 0
+    unknown: int = 0
+    not_run: int = 0
+
+    def add(self, answer: str) -> None:
+        """Count the last answer to a caller."""
+        self.known += answer == "known"
+        self.unknown += answer == "unknown"
+        self.not_run += answer == "not run"
+
+
+class Rule:
+    """The rule as shipped: the first record decides, and no timeout releases a claim."""
+
+    def __init__(self) -> None:
+        self.table: ClaimTable = create_claim_table()
+
+    def claim(self, command: ClaimRun) -> ClaimGranted | ClaimHeld:
+        """Decide a claim."""
+        result = self.table.claim(command)
+        assert isinstance(result, ClaimGranted | ClaimHeld), result
+        return result
+
+    def record(self, command: RecordOutcome) -> None:
+        """Take a record."""
+        self.table.record(command)
+
+
+class RequeueRule(Rule):
+    """An open claim is released by timeout, so that a resend runs again."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.holders: dict[str, str] = {}
+
+    def claim(self, command: ClaimRun) -> ClaimGranted | ClaimHeld:
+        """Decide a claim; a resend comes after the timeout of the open one."""
+        holder = self.holders.get(command.request_id)
+        if holder is not None:
+            self.record(RecordOutcome(command.request_id, holder, False, 0, b"", START_MS))
+        result = super().claim(command)
+        if isinstance(result, ClaimGranted):
+            self.holders[command.request_id] = command.attempt
+        return result
+
+
+class LastRecordRule(Rule):
+    """The last record decides, whichever attempt it is from."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.held: dict[str, RecordOutcome | None] = {}
+
+    def claim(self, command: ClaimRun) -> ClaimGranted | ClaimHeld:
+        """Grant what is not claimed, or what the last record says did not run."""
+        record = self.held.get(command.request_id)
+        if command.request_id not in self.held or (record is not None and not record.ran):
+            self.held[command.request_id] = None
+            return ClaimGranted(command.request_id, command.attempt)
+        body = b"" if record is None else record.body
+        return ClaimHeld(command.request_id, "", record is not None, 200, body)
+
+    def record(self, command: RecordOutcome) -> None:
+        """Take a record."""
+        self.held[command.request_id] = command
+
+
+class NoClaimRule(Rule):
+    """Every attempt runs."""
+
+    def claim(self, command: ClaimRun) -> ClaimGranted | ClaimHeld:
+        """Grant every claim."""
+        return ClaimGranted(command.request_id, command.attempt)
+
+
+RULES: dict[str, Callable[[], Rule]] = {
+    "first record": Rule,
+    "first record, timeout releases": RequeueRule,
+    "last record": LastRecordRule,
+    "no claim": NoClaimRule,
+}
+
+
+def main(seed: Annotated[int, typer.Option(help="Seed of the faults.")] = 1) -> None:
+    """Run every rule over the same requests and print the counts."""
+    print(f"{'rule':32} {'twice':>7} {'two told':>8} {'known':>7} {'unknown':>7} {'not run':>7}")
+    for name, create in RULES.items():
+        tally = Tally()
+        for number in range(REQUESTS):
+            _run_request(create(), random.Random(f"{seed}/{number}"), number, tally)
+        print(
+            f"{name:32} {tally.run_twice:7} {tally.told_two_outcomes:8} "
+            f"{tally.known:7} {tally.unknown:7} {tally.not_run:7}"
+        )
+
+
+def _run_request(rule: Rule, rng: random.Random, number: int, tally: Tally) -> None:
+    request_id = str(uuid.UUID(int=(START_MS << 80) | (7 << 76) | (2 << 62) | number))
+    runs = 0
+    told: set[bytes] = set()
+    late: list[RecordOutcome] = []
+    answer = "unknown"
+    for attempt in ATTEMPTS:
+        fate = _fate(rng)
+        slow, twice = rng.random() < LATE_RATIO, rng.random() < TWICE_RATIO
+        result = rule.claim(ClaimRun(request_id, "digest", attempt, "entry", START_MS))
+        if isinstance(result, ClaimHeld):
+            answer = "known" if result.recorded else "unknown"
+            told |= {result.body} if result.recorded else set()
+        else:
+            runs += fate in (Fate.ANSWERED, Fate.DIED_AFTER)
+            answer = ANSWERS[fate]
+            told |= {attempt.encode()} if fate is Fate.ANSWERED else set()
+            for record in _records(request_id, attempt, fate, twice):
+                (late.append if slow or late else rule.record)(record)
+                slow = True
+        if late and rng.random() < 0.5:
+            rule.record(late.pop(0))
+    tally.run_twice += runs > 1
+    tally.told_two_outcomes += len(told) > 1
+    tally.add(answer)
+
+
+def _fate(rng: random.Random) -> Fate:
+    answered = 1 - 3 * FAULT_RATIO
+    weights = [FAULT_RATIO, FAULT_RATIO, FAULT_RATIO, answered]
+    fates = [Fate.DIED_BEFORE, Fate.NOT_RUN, Fate.DIED_AFTER, Fate.ANSWERED]
+    return rng.choices(fates, weights)[0]
+
+
+def _records(request_id: str, attempt: str, fate: Fate, twice: bool) -> list[RecordOutcome]:
+    if fate not in (Fate.ANSWERED, Fate.NOT_RUN):
+        return []
+    ran = fate is Fate.ANSWERED
+    record = RecordOutcome(request_id, attempt, ran, 200, attempt.encode(), START_MS)
+    return [record, record] if twice else [record]
+
+
+if __name__ == "__main__":
+    typer.run(main)
