--- a/packages/decisions/src/spindle_decisions/serving/ejection.py
+++ b/packages/decisions/src/spindle_decisions/serving/ejection.py
@@ -3,6 +3,7 @@
 FAILURES_TO_EJECT = 3
 FIRST_EJECTION_S = 1.0
 LONGEST_EJECTION_S = 30.0
+PROLONG_S = 1.5
 
 
 class Ejection:
@@ -30,6 +31,10 @@
         self.length_s = min(LONGEST_EJECTION_S, 2 * self.length_s)
         return True
 
+    def prolong(self, now: float) -> None:
+        """Stay ejected until well after the next probe, since this one failed."""
+        self.until = max(self.until, now + PROLONG_S)
+
     def succeeded(self) -> bool:
         """Count a success; return true when it ends a run of failures that ejected."""
         restored = self.failures >= FAILURES_TO_EJECT
--- a/packages/decisions/src/spindle_decisions/serving/replica_score.py
+++ b/packages/decisions/src/spindle_decisions/serving/replica_score.py
@@ -20,7 +20,7 @@
     """
     own = state.inflight / state.upstream.slots
     hint = min(HINT_CAP, state.load.hint(now))
-    score = state.latency.value_s * (1.0 + own + HINT_WEIGHT * hint)
+    score = state.latency.at(now) * (1.0 + own + HINT_WEIGHT * hint)
     age = now - state.since
     if age < SLOW_START_S:
         score *= SLOW_START_FACTOR - (SLOW_START_FACTOR - 1.0) * max(0.0, age) / SLOW_START_S
--- a/packages/decisions/src/spindle_decisions/serving/upstream_board.py
+++ b/packages/decisions/src/spindle_decisions/serving/upstream_board.py
@@ -145,7 +145,7 @@
 
     def answered(self, state: UpstreamState, latency_s: float, now: float) -> bool:
         """Give a slot back after a good answer; return true when this restores the replica."""
-        state.latency.observe(latency_s)
+        state.latency.observe(latency_s, now)
         state.answered_at = now
         state.limit.answered(latency_s, state.inflight, now)
         restored = state.ejection.succeeded()
@@ -173,7 +173,7 @@
         """
         ejected = False
         if slow:
-            state.latency.observe_at_least(now - sent_at)
+            state.latency.observe_unfinished(now - sent_at, now)
             ejected = state.answered_at < sent_at and state.ejection.failed(now)
         self._give_back(state, now)
         return ejected
@@ -202,6 +202,9 @@
 
     def probe_failed(self, state: UpstreamState, now: float) -> bool:
         """Learn that the replica did not answer a status request; return true if ejected."""
+        if state.ejection.ejected(now):
+            state.ejection.prolong(now)
+            return False
         return state.ejection.failed(now)
 
     def grant_waiting(self, service: str, now: float) -> None:
