--- a/packages/daemon/src/spindle_daemon/components/entry_http/application.py
+++ b/packages/daemon/src/spindle_daemon/components/entry_http/application.py
@@ -112,6 +112,7 @@
 
 def _query_call(route: Route, body: bytes, environ: dict[str, Any]) -> QueryCall:
     try:
+        body.decode()
         request = _QUERY_DECODER.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as err:
         raise BadRequestError(f"body: {err}") from err
@@ -126,6 +127,7 @@
 
 def _run_call(route: Route, body: bytes, environ: dict[str, Any]) -> RunCall:
     try:
+        body.decode()
         request = _RUN_DECODER.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as err:
         raise BadRequestError(f"body: {err}") from err
--- a/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
@@ -156,6 +156,7 @@
             self.board,
             self.channels,
             self.news,
+            self.prober.hurry,
             TimelineNotes(self.spindle.timeline, log.request_id),
             self.spindle.clock,
             self.metrics,
--- a/packages/daemon/src/spindle_daemon/components/serving/prober.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/prober.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 import gevent
+from gevent.event import Event
 
 from spindle_daemon.components.serving import const
 from spindle_daemon.components.serving.metrics import ServingMetrics
@@ -44,16 +45,23 @@
         self.metrics = metrics
         self.greenlets: dict[str, gevent.Greenlet] = {}
         self.asked: set[str] = set()
+        self.hurried: dict[str, Event] = {}
 
     def follow(self) -> None:
         """Probe exactly the upstreams that the board knows."""
         for name in [name for name in self.greenlets if name not in self.board.states]:
             self.greenlets.pop(name).kill(block=False)
+            self.hurried.pop(name, None)
             self.asked.discard(name)
         for name in self.board.states:
             if name not in self.greenlets:
                 self.greenlets[name] = gevent.spawn(self._watch, name)
 
+    def hurry(self, name: str) -> None:
+        """Ask this upstream at once, as what is known about it is out of date."""
+        if name in self.hurried:
+            self.hurried[name].set()
+
     def stop(self) -> None:
         """Stop all probes."""
         gevent.killall(list(self.greenlets.values()), block=False)
@@ -64,13 +72,15 @@
         return len(self.asked) >= len(self.board.states)
 
     def _watch(self, name: str) -> None:
+        hurried = self.hurried.setdefault(name, Event())
         while True:
+            hurried.clear()
             state = self.board.states.get(name)
             if state is not None:
                 self._probe(state)
                 self.asked.add(name)
             spread = 1.0 + const.PROBE_JITTER * (2.0 * self.spindle.rng.random() - 1.0)
-            gevent.sleep(const.PROBE_PERIOD_S * spread)
+            hurried.wait(const.PROBE_PERIOD_S * spread)
 
     def _probe(self, state: UpstreamState) -> None:
         state.probing = 1
--- a/packages/daemon/src/spindle_daemon/components/serving/query_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/query_runner.py
@@ -1,6 +1,6 @@
 """Carries out the actions of one query on the loop."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import gevent
 import msgspec
@@ -51,6 +51,7 @@
         board: UpstreamBoard,
         channels: Mapping[str, UpstreamChannel],
         news: UpstreamNews,
+        hurry: Callable[[str], None],
         notes: ScatterNotes,
         clock: Clock,
         metrics: ServingMetrics,
@@ -59,6 +60,7 @@
         self.body_of = body_of
         self.channels = channels
         self.news = news
+        self.hurry = hurry
         self.clock = clock
         self.metrics = metrics
         self.scatter = Scatter(plan, board, notes, self._wake)
@@ -130,13 +132,17 @@
         failure = reply_verdict(
             reply.status, sent_id, reply.request_id, reply.not_run, reply.draining
         )
+        if failure is FailureKind.SNAPSHOT_GONE:
+            self.hurry(send.upstream)
         if failure is not None:
             self.scatter.failed(send.attempt, failure, now)
             return
         try:
+            # Raw rows are not checked for UTF-8, and one bad row would spoil the answer.
+            reply.body.decode()
             rows = _ROWS_DECODER.decode(reply.body).rows
             snapshot = _snapshot(reply.snapshot, send.snapshot)
-        except (msgspec.MsgspecError, BadRequestError):
+        except (msgspec.MsgspecError, UnicodeDecodeError, BadRequestError):
             self.scatter.failed(send.attempt, FailureKind.BROKEN, now)
             return
         self.scatter.answered(send.attempt, snapshot, rows, now)
--- a/packages/decisions/src/spindle_decisions/serving/scatter.py
+++ b/packages/decisions/src/spindle_decisions/serving/scatter.py
@@ -23,6 +23,8 @@
 MAX_RESTARTS = 2
 RESTART_TIME_SHARE = 0.3
 RETRY_PAUSE_S = 0.02
+MAX_LOOKS = 4
+LOOK_PAUSE_S = 0.03
 HEDGE_PATIENCE = 1.4
 HEDGE_LOOK_AGAIN = 0.5
 
@@ -126,6 +128,7 @@
         self.notes.attempt_failed(shard.service, attempt.state.name, kind)
         if kind is FailureKind.SNAPSHOT_GONE and self.snapshot is not None:
             self.board.snapshot_gone(attempt.state, self.snapshot)
+            shard.snapshot_gone = True
         if self.board.failed(attempt.state, kind, now):
             self.notes.ejected(attempt.state.name)
         if self.done or shard.settled or shard.flying or shard.waiting:
@@ -323,8 +326,16 @@
         self._no_replica(shard, now)
 
     def _no_replica(self, shard: ScatterShard, now: float) -> None:
-        """No replica serves the pinned snapshot: start again on a newer one, or lose the shard."""
+        """No replica serves the pinned snapshot: start again on a newer one, or lose the shard.
+
+        Where the snapshot has just gone, what the replicas hold instead is
+        asked of them meanwhile, so a newer one is looked for a few times.
+        """
         choice = self._better_snapshot(now)
+        if choice is None and shard.snapshot_gone and shard.looks < MAX_LOOKS:
+            shard.looks += 1
+            self._arm(now + LOOK_PAUSE_S * shard.looks, shard, AttemptKind.RETRY)
+            return
         if choice is None:
             self._lose(shard, now)
             return
--- a/packages/decisions/src/spindle_decisions/serving/scatter_shard.py
+++ b/packages/decisions/src/spindle_decisions/serving/scatter_shard.py
@@ -22,7 +22,9 @@
     """What is known of one service of a query.
 
     `avoid` holds the replicas that were tried; `next_kind` is the cause of the
-    next sub-request. A shard is settled when it is covered or lost.
+    next sub-request. `snapshot_gone` tells that a replica no longer held the
+    pinned snapshot, `looks` how often a newer one was looked for since. A shard
+    is settled when it is covered or lost.
     """
 
     service: str
@@ -31,6 +33,8 @@
     avoid: set[str] = dataclasses.field(default_factory=set)
     sent: int = 0
     waiting: bool = False
+    snapshot_gone: bool = False
+    looks: int = 0
     covered: bool = False
     lost: bool = False
     rows: object = None
--- /dev/null
+++ b/tests/daemon/entry_http/test_callers.py
@@ -0,0 +1,130 @@
+"""Callers that behave badly, and the planned stop."""
+
+import contextlib
+import unittest
+
+import gevent
+from gevent import socket
+from nose2.tools import params
+
+from tests.daemon.serving.common import GROUP, Bench, bench, wait_until
+
+PATH = f"/v1/groups/{GROUP}/query"
+HEAD = f"POST {PATH} HTTP/1.1\r\nHost: x\r\n"
+TIMEOUT_S = 5.0
+
+
+def talk(it: Bench, *parts: str, pause_s: float = 0.0) -> bytes:
+    """Send the parts with pauses between and return all that comes until the close."""
+    sock = socket.create_connection(("127.0.0.1", it.tier.port), TIMEOUT_S)
+    reader = gevent.spawn(receive_all, sock)
+    with contextlib.suppress(ConnectionError):
+        for part in parts:
+            sock.sendall(part.encode())
+            gevent.sleep(pause_s)
+    received: bytes = reader.get()
+    sock.close()
+    return received
+
+
+def receive_all(sock: socket.socket) -> bytes:
+    """Return everything up to the close, however the connection ends."""
+    received = b""
+    with contextlib.suppress(ConnectionError):
+        while data := sock.recv(65536):
+            received += data
+    return received
+
+
+class TestBadCallers(unittest.TestCase):
+    @params(
+        ("malformed JSON", PATH, b'{"query":', {}, 400),
+        ("not an object", PATH, b"[1]", {}, 400),
+        ("no query", PATH, b"{}", {}, 400),
+        ("unknown field", PATH, b'{"query":1,"extra":2}', {}, 400),
+        ("not UTF-8", PATH, b'{"query":"\xff"}', {}, 400),
+        ("too large", PATH, b'{"query":"' + b"x" * 5000 + b'"}', {}, 400),
+        ("deadline no number", PATH, b'{"query":1}', {"X-Spindle-Deadline-Ms": "soon"}, 400),
+        ("deadline nan", PATH, b'{"query":1}', {"X-Spindle-Deadline-Ms": "nan"}, 400),
+        ("deadline negative", PATH, b'{"query":1}', {"X-Spindle-Deadline-Ms": "-5"}, 400),
+        ("coverage over one", PATH, b'{"query":1}', {"X-Spindle-Min-Coverage": "1.5"}, 400),
+        ("unknown path", "/v2/groups", b"{}", {}, 400),
+        ("unknown group", "/v1/groups/none/query", b'{"query":1}', {}, 404),
+        ("unknown service", f"/v1/groups/{GROUP}/services/x/query", b'{"query":1}', {}, 404),
+    )
+    def test_coded_refusal(
+        self, _name: str, path: str, body: bytes, headers: dict[str, str], status: int
+    ) -> None:
+        with bench() as it:
+            answer = it.tier.post(path, body, headers)
+            self.assertEqual(status, answer.status)
+            self.assertEqual(answer.headers["x-spindle-code"], answer.body["code"])
+            self.assertEqual(200, it.tier.query().status)
+            self.assertEqual(len(it.tier.account.arrivals), len(it.tier.account.records))
+            self.assertEqual("refused", it.tier.account.records[0].outcome)
+
+    @params(
+        ("garbage", ("garbage\r\n\r\n",), 0.0, b"400"),
+        ("bad length", (HEAD + "Content-Length: x\r\n\r\n",), 0.0, b"400"),
+        ("negative length", (HEAD + "Content-Length: -1\r\n\r\n",), 0.0, b"400"),
+        ("too many headers", (HEAD + "A: b\r\n" * 200 + "\r\n",), 0.0, b"400"),
+        ("half a head", (HEAD,), 0.0, b"408"),
+        ("dripping request line", tuple("POST /slow"), 0.05, b"408"),
+        ("dripping head", (HEAD, *("a: b\r\n" * 1,) * 12), 0.05, b"408"),
+        ("half a body", (HEAD + "Content-Length: 20\r\n\r\n", "{"), 0.0, b"400"),
+        ("dripping body", (HEAD + "Content-Length: 20\r\n\r\n", *"xxxxxxxxx"), 0.05, b"400"),
+        ("bad chunks", (HEAD + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",), 0.0, b"400"),
+        (
+            "endless chunks",
+            (HEAD + "Transfer-Encoding: chunked\r\n\r\n", *("400\r\n" + "x" * 1024 + "\r\n",) * 6),
+            0.0,
+            b"400",
+        ),
+    )
+    def test_raw(self, _name: str, parts: tuple[str, ...], pause_s: float, status: bytes) -> None:
+        with bench() as it:
+            received = talk(it, *parts, pause_s=pause_s)
+            self.assertEqual(b"HTTP/1.1 " + status, received[:12])
+            self.assertIn(b"X-Spindle-Code: ", received)
+            self.assertEqual(200, it.tier.query().status)
+
+    def test_too_many_callers(self) -> None:
+        with bench(entry={"max_callers": 3}) as it:
+            idle = [socket.create_connection(("127.0.0.1", it.tier.port)) for _ in range(3)]
+            gevent.sleep(0.05)
+            self.assertIn(b"overloaded", talk(it))
+            for sock in idle:
+                sock.close()
+            wait_until(self, lambda: talk(it, "GET /livez HTTP/1.0\r\n\r\n")[9:12] == b"200")
+
+    def test_idle_caller_is_closed(self) -> None:
+        with bench(entry={"idle_timeout_ms": 100}) as it:
+            self.assertEqual(b"", talk(it))
+
+
+class TestStop(unittest.TestCase):
+    def test_cuts_off_nothing(self) -> None:
+        """Before, during and after the lag: served, served, refused; all are answered."""
+        with bench(median_ms=400.0, entry={"stop_lag_ms": 200}) as it:
+            path = f"/v1/groups/{GROUP}/query"
+            early = gevent.spawn(it.tier.query)
+            gevent.sleep(0.05)
+            stopping = gevent.spawn(it.tier.spindle.stop)
+            gevent.sleep(0.05)
+            self.assertEqual(503, it.tier.get("/readyz").status)
+            self.assertEqual(200, it.tier.get("/livez").status)
+            client = it.tier.client()
+            lagging = gevent.spawn(client.post, path, b'{"query":1}')
+            gevent.sleep(0.25)
+            refused = it.tier.query()
+            self.assertEqual((503, "leaving"), (refused.status, refused.body["code"]))
+            self.assertEqual("close", refused.headers["connection"])
+            self.assertEqual([], early.get().body["missing"])
+            response = lagging.get()
+            self.assertEqual((200, "close"), (response.status_code, response["connection"]))
+            stopping.join(TIMEOUT_S)
+            self.assertTrue(stopping.ready())
+            self.assertEqual(len(it.tier.account.arrivals), len(it.tier.account.records))
+            with self.assertRaises(ConnectionRefusedError):
+                socket.create_connection(("127.0.0.1", it.tier.port))
+            it.tier.spindle.stop_hooks.clear()
