--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -49,17 +49,14 @@
 
     def start_standins(self) -> None:
         """Start all stand-in processes."""
-        for standin in self.plan.standins:
-            self.start_standin(standin.name)
+        for name in sorted({item.process for item in self.plan.upstreams}):
+            self.start_standin(name)
 
     def start_standin(self, name: str) -> None:
         """Start, or start again, one stand-in process."""
-        port = next(item.control_port for item in self.plan.standins if item.name == name)
         own = tuple(item for item in self.plan.upstreams if item.process == name)
-        if not own:
-            return
         path = self.folder / f"{name}.ini"
-        path.write_text(files.standin_settings(own, self.plan, port))
+        path.write_text(files.standin_settings(own, self.plan))
         self._start(name, "spindle_devkit.upstream", ["--config", str(path)])
 
     def start_instance(self, name: str) -> None:
@@ -139,17 +136,17 @@
 
     def stop(self) -> dict[str, int]:
         """Stop everything as planned, entries first; return the exit codes."""
-        codes: dict[str, int] = {}
-        entries = [item.name for item in self.plan.entries]
-        others = [name for name in self.processes if name not in entries]
-        for names in (entries, others):
-            started = [name for name in names if name in self.processes]
-            running = [name for name in started if self.processes[name].running]
-            for name in running:
-                self.processes[name].terminate()
-            for name in running:
-                codes[name] = self.processes[name].wait(STOP_TIMEOUT_S)
-        return codes
+        codes = self.stop_named([item.name for item in self.plan.entries])
+        return codes | self.stop_named(list(self.processes))
+
+    def stop_named(self, names: list[str]) -> dict[str, int]:
+        """Stop some processes as planned, all at once; return the exit codes."""
+        running = [
+            name for name in names if name in self.processes and self.processes[name].running
+        ]
+        for name in running:
+            self.processes[name].terminate()
+        return {name: self.processes[name].wait(STOP_TIMEOUT_S) for name in running}
 
     def kill_all(self) -> None:
         """End every process at once."""
--- a/bench/files.py
+++ b/bench/files.py
@@ -44,22 +44,17 @@
     return render_ini(sections)
 
 
-def standin_settings(
-    upstreams: tuple[UpstreamPlan, ...], plan: DeploymentPlan, control_port: int
-) -> str:
+def standin_settings(upstreams: tuple[UpstreamPlan, ...], plan: DeploymentPlan) -> str:
     """Return the settings file of one stand-in process."""
     groups = {group.name: group for group in plan.groups}
     return render_ini(
-        {
-            "standin": {"port": str(control_port)},
-            **{f"upstream {item.name}": _upstream(item, groups[item.group]) for item in upstreams},
-        }
+        {f"upstream {item.name}": _upstream(item, groups[item.group]) for item in upstreams}
     )
 
 
 def _upstream(item: UpstreamPlan, group: GroupPlan) -> Section:
     return {
-        "port": str(item.port),
+        "listen": f"{LOOPBACK}:{item.port}",
         "service": item.service,
         "slots": str(group.slots),
         "connections": str(group.connections),
@@ -89,6 +84,12 @@
     return render_ini(sections)
 
 
+def small_note(number: int, target_ms: int, group: str = "comptoir") -> str:
+    """Return a release note that changes the target latency of a group."""
+    change = {f"changed group {group}": {"target-ms": str(target_ms)}}
+    return render_ini({"note": note_head(number), **change})
+
+
 def note_head(number: int, author: str = "bench") -> Section:
     """Return the head section of a release note."""
     return {"number": str(number), "id": str(uuid.uuid4()), "author": author}
