Share membership by deltas and slow the heartbeat

Cause: every control instance sent its whole list to each other one every second, and every entry beat twice a second at two control instances. Ruled out: leaving ages out of the list, which would have blinded the far side to a silent instance; silent ones are named instead. A step of periodic work that raises no longer ends it.

--- a/packages/daemon/src/spindle_daemon/components/control/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/control/__init__.py
@@ -3,6 +3,7 @@
 import gevent
 
 from spindle_daemon.components.admin.admin_app import AdminApp
+from spindle_daemon.components.control.const import STATUS_PERIOD_S
 from spindle_daemon.components.control.folder_writer import FolderWriter
 from spindle_daemon.components.control.instance_registry import InstanceRegistry
 from spindle_daemon.components.control.operator_api import OperatorApi
@@ -11,6 +12,7 @@
 from spindle_daemon.components.control_link.catalog_sender import CatalogSender
 from spindle_daemon.components.control_link.proposal_client import ProposalClient
 from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.periodic import run_every
 from spindle_daemon.settings.control_settings import ControlSettings
 from spindle_daemon.storage.data_folder import DataFolder, open_data_folder
 from spindle_decisions.commands.command import Result
@@ -39,7 +41,7 @@
     _connect(spindle, driver, registry)
     OperatorApi(spindle, driver, registry, restored.folder_id).register(admin)
     driver.start()
-    gevent.spawn(registry.run_forever)
+    gevent.spawn(run_every, "membership", lambda: STATUS_PERIOD_S, registry.share)
     spindle.ready = True
     return folder
 
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/control/config_mark.py
@@ -0,0 +1,11 @@
+"""The version and digest of a catalog."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigMark:
+    """A version of the catalog and the digest of its content."""
+
+    version: int
+    digest: str
--- a/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
+++ b/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
@@ -13,6 +13,7 @@
 from spindle_daemon.core.clock import Clock
 from spindle_daemon.core.timeline_sink import TimelineSink
 from spindle_daemon.helpers.fatal import stop_process
+from spindle_daemon.helpers.periodic import run_every
 from spindle_decisions.commands.command import Result, decode_command
 from spindle_decisions.consensus.entry_kind import EntryKind
 from spindle_decisions.consensus.log_entry import LogEntry
@@ -67,7 +68,7 @@
 
     def start(self) -> None:
         """Start the greenlets."""
-        gevent.spawn(self._tick_forever)
+        gevent.spawn(run_every, "raft", lambda: TICK_S, self._tick)
         gevent.spawn(self._write_forever)
 
     def receive(self, packet: RaftPacket) -> None:
@@ -102,11 +103,9 @@
         """Load the state of a snapshot that the data folder held at the start."""
         self._restore(snapshot)
 
-    def _tick_forever(self) -> None:
-        while True:
-            self.node.tick(self.clock.now())
-            self.pump()
-            gevent.sleep(TICK_S)
+    def _tick(self) -> None:
+        self.node.tick(self.clock.now())
+        self.pump()
 
     def _write_forever(self) -> None:
         while True:
--- a/packages/daemon/src/spindle_daemon/components/control_link/control_choice.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/control_choice.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from spindle_daemon.components.control_link.const import ACK_TIMEOUT_S, MOVE_BACK_S
+from spindle_daemon.components.control_link.const import ACK_TIMEOUT_S, HEARD_LATELY_S, MOVE_BACK_S
 from spindle_daemon.settings.instance_address import InstanceAddress
 from spindle_decisions.wire.heartbeat_ack import HeartbeatAck
 
@@ -54,6 +54,13 @@
         view = self.views[self.current.name]
         return view.stale or self._silent(now, view)
 
+    def near_other(self) -> InstanceAddress | None:
+        """Return a control instance of the own data centre while a far one is chosen."""
+        if self.views[self.current.name].data_center == self.data_center:
+            return None
+        near = [view for view in self.views.values() if view.data_center == self.data_center]
+        return near[0].address if near else None
+
     def _usable(self, now: float, view: ControlView) -> bool:
         return not view.stale and not self._silent(now, view)
 
@@ -62,13 +69,13 @@
         return now - last > ACK_TIMEOUT_S
 
     def _heard(self, now: float, view: ControlView) -> bool:
-        return view.heard_at is not None and now - view.heard_at <= ACK_TIMEOUT_S
+        return view.heard_at is not None and now - view.heard_at <= HEARD_LATELY_S
 
     def _move(self, now: float) -> bool:
         fresh = [
             view
             for view in self.views.values()
-            if self._heard(now, view) and not view.stale and view.address != self.current
+            if self._steady(now, view) and view.address != self.current
         ]
         if not fresh:
             return False
@@ -77,24 +84,20 @@
         return True
 
     def _move_back(self, now: float) -> bool:
-        if self.views[self.current.name].data_center == self.data_center:
-            self.near_since = None
-            return False
-        near = [
-            view
-            for view in self.views.values()
-            if view.data_center == self.data_center and self._heard(now, view) and not view.stale
-        ]
-        if not near:
+        near = self.near_other()
+        if near is None or not self._steady(now, self.views[near.name]):
             self.near_since = None
             return False
         if self.near_since is None:
             self.near_since = now
         if now - self.near_since < MOVE_BACK_S:
             return False
-        self._take(now, near[0].address)
+        self._take(now, near)
         return True
 
+    def _steady(self, now: float, view: ControlView) -> bool:
+        return self._heard(now, view) and not view.stale
+
     def _distance(self, view: ControlView) -> tuple[bool, str]:
         return (view.data_center != self.data_center, view.address.name)
 
--- a/packages/daemon/src/spindle_daemon/components/control_link/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/coordinator.py
@@ -2,11 +2,15 @@
 
 import logging
 
-import gevent
-
 from spindle_daemon.components.control_link.catalog_fetcher import CatalogFetcher
 from spindle_daemon.components.control_link.catalog_holder import CatalogHolder
-from spindle_daemon.components.control_link.const import HEARTBEAT_S, STARTUP_WAIT_S
+from spindle_daemon.components.control_link.const import (
+    HASTY_HEARTBEAT_S,
+    HEARTBEAT_JITTER,
+    HEARTBEAT_S,
+    SECOND_CONTROL_EVERY,
+    STARTUP_WAIT_S,
+)
 from spindle_daemon.components.control_link.control_choice import ControlChoice
 from spindle_daemon.core.live_changed import LiveChanged
 from spindle_daemon.core.spindle import Spindle
@@ -24,9 +28,8 @@
 class ControlLink:
     """Keeps an entry instance in touch with the control instances.
 
-    Every control instance is asked in turn while the current one is in doubt,
-    and one of the others with each heartbeat otherwise, so that the choice
-    always rests on recent answers. The instance becomes ready once it has a
+    Every control instance is asked while the current one is in doubt; otherwise
+    one of the others is asked now and then, so that each knows of its neighbours. The instance becomes ready once it has a
     catalog and had the time to hear of a newer one from control instances and
     from other entry instances.
     """
@@ -56,11 +59,11 @@
             return self.choice.current.address
         return self.addresses[(self.round + attempt) % len(self.addresses)].address
 
-    def run_forever(self) -> None:
-        """Send heartbeats."""
-        while True:
-            self.beat()
-            gevent.sleep(HEARTBEAT_S * self.spindle.rng.uniform(0.8, 1.2))
+    def period_s(self) -> float:
+        """Return the seconds until the next heartbeat: short while in doubt or not ready."""
+        hasty = not self.spindle.ready or self.choice.doubtful(self.spindle.clock.now())
+        period_s = HASTY_HEARTBEAT_S if hasty else HEARTBEAT_S
+        return period_s * self.spindle.rng.uniform(1.0 - HEARTBEAT_JITTER, 1.0 + HEARTBEAT_JITTER)
 
     def beat(self) -> None:
         """Send one round of heartbeats and choose again."""
@@ -86,7 +89,12 @@
         if not self.spindle.ready or self.choice.doubtful(now):
             return everyone
         current = self.choice.current.address
-        other = everyone[self.round % len(everyone)]
+        near = self.choice.near_other()
+        if near is not None:
+            return [current, near.address]
+        if self.round % SECOND_CONTROL_EVERY:
+            return [current]
+        other = everyone[self.round // SECOND_CONTROL_EVERY % len(everyone)]
         return [current] if other == current else [current, other]
 
     def _ask_peers(self) -> None:
@@ -98,26 +106,13 @@
 
     def _heartbeat(self, attached: bool) -> Heartbeat:
         return Heartbeat(
-            live=self._self(),
+            live=self.spindle.self_entry(),
             config_version=self.holder.catalog.version,
             config_digest=self.holder.digest,
             live_digest=self.live_digest,
             attached=attached,
         )
 
-    def _self(self) -> LiveInstance:
-        settings = self.spindle.settings
-        return LiveInstance(
-            instance=settings.instance.name,
-            incarnation=self.spindle.incarnation,
-            data_center=settings.instance.data_center,
-            role=settings.instance.role,
-            mesh_address=settings.mesh.advertise,
-            admin_host=settings.admin.host,
-            admin_port=settings.admin.port,
-            leaving=self.spindle.leaving,
-        )
-
     def _handle_ack(self, _sender: str, ack: HeartbeatAck) -> None:
         now = self.spindle.clock.now()
         if not ack.stale:
--- a/packages/daemon/src/spindle_daemon/core/spindle.py
+++ b/packages/daemon/src/spindle_daemon/core/spindle.py
@@ -12,6 +12,7 @@
 from spindle_daemon.core.timeline_sink import TimelineSink
 from spindle_daemon.mesh.transport import Transport
 from spindle_daemon.settings.settings import Settings
+from spindle_decisions.wire.live_instance import LiveInstance
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -44,6 +45,20 @@
         self.leaving = False
         self.stop_hooks: list[StopHook] = []
 
+    def self_entry(self) -> LiveInstance:
+        """Return this instance as it tells others about itself."""
+        settings = self.settings
+        return LiveInstance(
+            instance=settings.instance.name,
+            incarnation=self.incarnation,
+            data_center=settings.instance.data_center,
+            role=settings.instance.role,
+            mesh_address=settings.mesh.advertise,
+            admin_host=settings.admin.host,
+            admin_port=settings.admin.port,
+            leaving=self.leaving,
+        )
+
     def on_stop(self, hook: StopHook) -> None:
         """Register work for a planned stop; it may block its greenlet."""
         self.stop_hooks.append(hook)
--- a/packages/decisions/src/spindle_decisions/membership/instance_entry.py
+++ b/packages/decisions/src/spindle_decisions/membership/instance_entry.py
@@ -4,13 +4,18 @@
 
 from spindle_decisions.wire.live_instance import LiveInstance
 
+DIRECT = ""
+
 
 @dataclasses.dataclass(frozen=True)
 class InstanceEntry:
-    """The newest word of an instance and when it was heard, in monotonic seconds."""
+    """The newest word of an instance and when it was heard, in monotonic seconds.
+
+    `via` names the control instance that heard it, empty when it was heard here.
+    """
 
     live: LiveInstance
     config_version: int
     config_digest: str
     heard_at: float
-    direct: bool
+    via: str = DIRECT
--- a/packages/decisions/src/spindle_decisions/membership/instance_table.py
+++ b/packages/decisions/src/spindle_decisions/membership/instance_table.py
@@ -1,16 +1,18 @@
 """The table of instances: heartbeats, incarnations, suspicion and told departures."""
 
 import dataclasses
+from collections.abc import Iterable
 
 import msgspec
 import xxhash
 
 from spindle_decisions.membership.const import FORGET_AFTER_S, SUSPECT_AFTER_S
-from spindle_decisions.membership.instance_entry import InstanceEntry
+from spindle_decisions.membership.instance_entry import DIRECT, InstanceEntry
 from spindle_decisions.wire.heartbeat import Heartbeat
 from spindle_decisions.wire.instance_report import InstanceReport
 from spindle_decisions.wire.leave import Leave
 from spindle_decisions.wire.live_instance import LiveInstance
+from spindle_decisions.wire.silent_instance import SilentInstance
 
 MS_PER_S = 1000
 
@@ -30,17 +32,24 @@
 
     def heard(self, now: float, beat: Heartbeat) -> bool:
         """Take in a direct heartbeat; return true when the membership changed by it."""
-        entry = InstanceEntry(beat.live, beat.config_version, beat.config_digest, now, direct=True)
-        return self._take(entry)
+        return self._take(InstanceEntry(beat.live, beat.config_version, beat.config_digest, now))
 
-    def reported(self, now: float, report: InstanceReport) -> bool:
+    def reported(self, now: float, control: str, report: InstanceReport) -> bool:
         """Take in what another control instance heard; return true on a change."""
         heard_at = now - report.age_ms / MS_PER_S
         entry = InstanceEntry(
-            report.live, report.config_version, report.config_digest, heard_at, direct=False
+            report.live, report.config_version, report.config_digest, heard_at, control
         )
         return self._take(entry)
 
+    def refresh(self, now: float, control: str, silent: Iterable[SilentInstance]) -> None:
+        """Take in that a control instance still hears all it reported but the silent ones."""
+        ages = {item.instance: item.age_ms / MS_PER_S for item in silent}
+        for name, entry in self.entries.items():
+            if entry.via == control:
+                heard_at = max(entry.heard_at, now - ages.get(name, 0.0))
+                self.entries[name] = dataclasses.replace(entry, heard_at=heard_at)
+
     def told_leaving(self, leave: Leave) -> bool:
         """Drop an instance that has stopped; return true when it was known."""
         self.left[leave.instance] = max(leave.incarnation, self.left.get(leave.instance, 0))
@@ -71,15 +80,19 @@
         """Tell whether an instance has been silent for longer than a heartbeat allows."""
         return now - self.entries[name].heard_at > SUSPECT_AFTER_S
 
-    def direct_reports(self, now: float) -> tuple[InstanceReport, ...]:
-        """Return the instances that were heard directly."""
-        names = sorted(name for name, entry in self.entries.items() if entry.direct)
-        return tuple(self._report(now, self.entries[name]) for name in names)
-
     def reports(self, now: float) -> tuple[InstanceReport, ...]:
         """Return all instances with their age, sorted by name."""
         return tuple(self._report(now, self.entries[name]) for name in sorted(self.entries))
 
+    def reports_via(self, now: float, control: str) -> tuple[InstanceReport, ...]:
+        """Return the instances heard through one control instance, sorted by name."""
+        names = sorted(name for name, entry in self.entries.items() if entry.via == control)
+        return tuple(self._report(now, self.entries[name]) for name in names)
+
+    def direct_reports(self, now: float) -> tuple[InstanceReport, ...]:
+        """Return the instances that were heard directly, sorted by name."""
+        return self.reports_via(now, DIRECT)
+
     def _take(self, entry: InstanceEntry) -> bool:
         name = entry.live.instance
         if entry.live.incarnation <= self.left.get(name, -1):
@@ -118,5 +131,4 @@
         config_version=best.config_version,
         config_digest=best.config_digest,
         heard_at=max(known.heard_at, entry.heard_at),
-        direct=newer.direct,
     )
--- a/packages/decisions/src/spindle_decisions/wire/control_status.py
+++ b/packages/decisions/src/spindle_decisions/wire/control_status.py
@@ -3,10 +3,20 @@
 import msgspec
 
 from spindle_decisions.wire.instance_report import InstanceReport
+from spindle_decisions.wire.silent_instance import SilentInstance
 
 
 class ControlStatus(msgspec.Struct, frozen=True, tag="control-status"):
-    """The instances that a control instance hears directly."""
+    """The instances that a control instance hears directly.
+
+    `reports` holds what changed since the last status, or everything when
+    `full` is set. `digest` covers all direct instances; a receiver whose record
+    has another digest asks for everything. Instances that are not listed in
+    `silent` were heard lately.
+    """
 
     control: str
+    full: bool
+    digest: str
     reports: tuple[InstanceReport, ...]
+    silent: tuple[SilentInstance, ...]
--- a/packages/decisions/src/spindle_decisions/wire/message.py
+++ b/packages/decisions/src/spindle_decisions/wire/message.py
@@ -11,6 +11,7 @@
 from spindle_decisions.wire.propose import Propose
 from spindle_decisions.wire.propose_reply import ProposeReply
 from spindle_decisions.wire.raft_packet import RaftPacket
+from spindle_decisions.wire.status_wanted import StatusWanted
 from spindle_decisions.wire.summary_ack import SummaryAck
 from spindle_decisions.wire.summary_report import SummaryReport
 
@@ -26,6 +27,7 @@
     | Propose
     | ProposeReply
     | RaftPacket
+    | StatusWanted
     | SummaryAck
     | SummaryReport
 )
--- a/tests/decisions/membership/test_instance_table.py
+++ b/tests/decisions/membership/test_instance_table.py
@@ -50,13 +50,13 @@
     def test_leaving_and_versions_only_go_forward(self) -> None:
         self.table.heard(1.0, _beat(_live(1, leaving=True), 5))
         stale = InstanceReport(_live(), 3, "old", age_ms=0, suspected=False)
-        self.table.reported(2.0, stale)
+        self.table.reported(2.0, "control-2", stale)
         report = self.table.reports(2.0)[0]
         self.assertTrue(report.live.leaving)
         self.assertEqual(report.config_version, 5)
 
     def test_report_of_another_control_instance_keeps_its_age(self) -> None:
         report = InstanceReport(_live(name="entry-2"), 1, "d", age_ms=2000, suspected=False)
-        self.table.reported(10.0, report)
+        self.table.reported(10.0, "control-2", report)
         self.assertEqual(self.table.reports(10.0)[1].age_ms, 2000)
         self.assertEqual(len(self.table.direct_reports(10.0)), 1)
