Check the length of a record before its body

Behind a damaged record the rest of a file is searched for a sound one. Callers and upstreams choose bytes that end up in records, so a file may be full of what looks like records with long bodies; each would have been read to the end. The length now has a checksum of its own.

Four bytes more for each record.

--- a/packages/daemon/src/spindle_daemon/storage/record_codec.py
+++ b/packages/daemon/src/spindle_daemon/storage/record_codec.py
@@ -1,4 +1,9 @@
-"""Frames records in files: a mark, a length, a checksum and the body."""
+"""Frames records in files: a mark, a length, two checksums and the body.
+
+The first checksum covers the length. Bytes that look like a mark are so told
+from a header at once, whatever length follows them, and a search for records
+behind a damaged one stays linear. The second covers length and body.
+"""
 
 import msgspec
 import xxhash
@@ -8,11 +13,14 @@
 
 MARK = b"SPR1"
 _LENGTH_BYTES = 4
+_LENGTH_CHECKSUM_BYTES = 4
 _CHECKSUM_BYTES = 8
 _LENGTH_START = len(MARK)
-_CHECKSUM_START = _LENGTH_START + _LENGTH_BYTES
+_LENGTH_CHECKSUM_START = _LENGTH_START + _LENGTH_BYTES
+_CHECKSUM_START = _LENGTH_CHECKSUM_START + _LENGTH_CHECKSUM_BYTES
 HEADER_BYTES = _CHECKSUM_START + _CHECKSUM_BYTES
 _OFFSET_BITS = 32
+_SEED_BITS = 64
 
 
 class RecordScan(msgspec.Struct, frozen=True):
@@ -39,13 +47,14 @@
 def encode_record(body: bytes, file_number: int, offset: int) -> bytes:
     """Frame a record for one place in one file.
 
-    The checksum covers the place, so bytes of a record that stand anywhere else
+    The checksums cover the place, so bytes of a record that stand anywhere else
     are never taken for a record.
     """
     if len(body) > MAX_RECORD_BYTES:
         raise StorageError(f"a record of {len(body)} bytes, allowed are {MAX_RECORD_BYTES}")
     length = len(body).to_bytes(_LENGTH_BYTES, "little")
-    return MARK + length + _checksum(length, body, file_number, offset) + body
+    seed = _seed(file_number, offset)
+    return MARK + length + _length_checksum(length, seed) + _checksum(length, body, seed) + body
 
 
 def scan_records(data: bytes, file_number: int) -> RecordScan:
@@ -92,17 +101,29 @@
     body_start = offset + HEADER_BYTES
     if body_start > len(data) or not data.startswith(MARK, offset):
         return None
-    length = data[offset + _LENGTH_START : offset + _CHECKSUM_START]
+    seed = _seed(file_number, offset)
+    length = data[offset + _LENGTH_START : offset + _LENGTH_CHECKSUM_START]
+    length_checksum = data[offset + _LENGTH_CHECKSUM_START : offset + _CHECKSUM_START]
+    if _length_checksum(length, seed) != length_checksum:
+        return None
     body_end = body_start + int.from_bytes(length, "little")
     if body_end > len(data):
         return None
     body = data[body_start:body_end]
     expected = data[offset + _CHECKSUM_START : body_start]
-    if _checksum(length, body, file_number, offset) != expected:
+    if _checksum(length, body, seed) != expected:
         return None
     return body
 
 
-def _checksum(length: bytes, body: bytes, file_number: int, offset: int) -> bytes:
-    seed = (file_number << _OFFSET_BITS) + offset
-    return xxhash.xxh3_64_digest(length + body, seed=seed % (1 << 64))
+def _seed(file_number: int, offset: int) -> int:
+    return ((file_number << _OFFSET_BITS) + offset) % (1 << _SEED_BITS)
+
+
+def _length_checksum(length: bytes, seed: int) -> bytes:
+    digest = xxhash.xxh3_64_digest(length, seed=seed)
+    return digest[:_LENGTH_CHECKSUM_BYTES]
+
+
+def _checksum(length: bytes, body: bytes, seed: int) -> bytes:
+    return xxhash.xxh3_64_digest(length + body, seed=seed)
