--- a/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
+++ b/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
@@ -1,8 +1,6 @@
 """The driver that connects agreement with network, disk and state."""
 
 import logging
-import os
-import signal
 from collections.abc import Callable
 
 import gevent
@@ -14,6 +12,7 @@
 from spindle_daemon.components.control.proposal_book import ProposalBook, ResultListener
 from spindle_daemon.core.clock import Clock
 from spindle_daemon.core.timeline_sink import TimelineSink
+from spindle_daemon.helpers.fatal import stop_process
 from spindle_decisions.commands.command import Result, decode_command
 from spindle_decisions.consensus.entry_kind import EntryKind
 from spindle_decisions.consensus.log_entry import LogEntry
@@ -115,7 +114,7 @@
             try:
                 self.writer.persist(batch)
             except StorageError as err:
-                _stop_now(err)
+                stop_process(err)
                 return
             self.node.persisted(self.clock.now(), batch.seq)
             self.pump()
@@ -157,15 +156,9 @@
         try:
             self.writer.save_snapshot(snapshot)
         except StorageError as err:
-            _stop_now(err)
+            stop_process(err)
             return
         self.snapshot_index = max(self.snapshot_index, snapshot.index)
         self.node.compacted(snapshot)
         self.saving = False
         _LOGGER.info("storage: snapshot at index %s", snapshot.index)
-
-
-def _stop_now(err: StorageError) -> None:
-    _LOGGER.critical("storage: %s; the process stops", err)
-    logging.shutdown()
-    os.kill(os.getpid(), signal.SIGKILL)
