Fuzz the page against an independent count

The check bites: each of these eight faults, put in once by hand, failed it: no gaps found, the oldest revision holding, confirmations without a revision, lost requests left out of the total, partial answers taken as whole, a rank rounded down, duplicates counted twice, and a verdict that ignores gaps.

The fuzzing found a run that crashed before the one control instance it reported to had heard of it: nothing could miss it. A run now reports to every control instance until the first confirmation; what remains is a run that none of them ever heard of, which no page can know.

--- a/packages/decisions/src/spindle_decisions/account/summary_outbox.py
+++ b/packages/decisions/src/spindle_decisions/account/summary_outbox.py
@@ -13,7 +13,9 @@
     """Keeps every minute until a control instance has it on disk, and says what to send.
 
     Summaries go to one control instance at a time. When it leaves one
-    unconfirmed for `ACK_TIMEOUT_S`, all unconfirmed ones go to the next. At most
+    unconfirmed for `ACK_TIMEOUT_S`, all unconfirmed ones go to the next. Until
+    the first confirmation of the run they go to all control instances: a run of
+    which no control instance ever heard could not even be missed. At most
     `WINDOW_BYTES` are unconfirmed on the way at a time, but always one summary,
     so that a backlog after a cut does not flood the network. Memory is bounded:
     beyond the bounds the oldest minute is given up, counted, and will stand on
@@ -27,6 +29,7 @@
         self.bytes = 0
         self.given_up = 0
         self.moves = 0
+        self.heard = False
 
     def put(self, minute: int, revision: int, data: bytes) -> None:
         """Keep a summary; it replaces an earlier revision of the same minute."""
@@ -52,15 +55,19 @@
                 break
             item.sent_at = now
             on_the_way += len(item.data)
-            sends.append(OutboxSend(self.controls[self.current], item.minute, item.data))
+            sends.extend(OutboxSend(address, item.minute, item.data) for address in self._targets())
         return sends
 
     def acked(self, minute: int, revision: int) -> None:
         """Forget a minute that is on disk at this or a later revision."""
+        self.heard = True
         item = self.minutes.get(minute)
         if item is not None and revision >= item.revision:
             self._remove(minute)
 
+    def _targets(self) -> tuple[str, ...]:
+        return (self.controls[self.current],) if self.heard else self.controls
+
     def _is_over(self) -> bool:
         return len(self.minutes) > MAX_PENDING_MINUTES or self.bytes > MAX_PENDING_BYTES
 
--- /dev/null
+++ b/tests/decisions/account/test_flattery.py
@@ -0,0 +1,168 @@
+"""Fuzzing of the page against an independent count: equal, or the gap is named."""
+
+import math
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from spindle_decisions.account.group_page import GroupPage
+from spindle_decisions.account.query_outcome import QueryOutcome
+from spindle_decisions.account.verdict import Verdict
+from tests.decisions.account.common import TARGET_MS
+from tests.decisions.account.deployment import Deployment, Truth
+
+NAMES = ("entry-a", "entry-b")
+HISTOGRAM_ERROR = 1.01
+Q = QueryOutcome
+
+
+class PageMachine(RuleBasedStateMachine):
+    """Feeds traffic and faults to the account, and reads the page after each step."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.deployment = Deployment(NAMES)
+
+    @rule(name=st.sampled_from(NAMES), count=st.integers(1, 40))
+    def serve_well(self, name: str, count: int) -> None:
+        for _ in range(count):
+            self.arrive(name)
+            self.finish(name, Q.ANSWERED, 100, 4)
+
+    @rule(name=st.sampled_from(NAMES))
+    def arrive(self, name: str) -> None:
+        if name in self.deployment.entries:
+            self.deployment.arrive(name)
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        outcome=st.sampled_from(list(Q)),
+        latency_ms=st.integers(0, 2_000),
+        covered=st.integers(0, 4),
+    )
+    def finish(self, name: str, outcome: QueryOutcome, latency_ms: int, covered: int) -> None:
+        if name in self.deployment.entries:
+            self.deployment.finish(name, outcome, latency_ms, covered)
+
+    @rule(seconds=st.integers(1, 100))
+    def advance(self, seconds: int) -> None:
+        self.deployment.advance(seconds)
+
+    @rule(name=st.sampled_from(NAMES))
+    def crash(self, name: str) -> None:
+        if name in self.deployment.entries:
+            self.deployment.crash(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def stop(self, name: str) -> None:
+        if name in self.deployment.entries:
+            self.deployment.stop(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def start(self, name: str) -> None:
+        if name not in self.deployment.entries:
+            self.deployment.advance(1)
+            self.deployment.start(name)
+
+    @rule(sends=st.integers(0, 5), acks=st.integers(0, 5), delay_ms=st.integers(0, 15_000))
+    def lose_messages(self, sends: int, acks: int, delay_ms: int) -> None:
+        self.deployment.lose_sends = sends
+        self.deployment.lose_acks = acks
+        self.deployment.ack_delay_ms = delay_ms
+
+    @rule(index=st.integers(0, 1))
+    def restart_control(self, index: int) -> None:
+        self.deployment.controls[index].restart()
+
+    @rule(index=st.integers(0, 1), cut=st.booleans())
+    def cut_control(self, index: int, cut: bool) -> None:
+        self.deployment.controls[index].cut = cut
+        self.deployment.faults = True
+
+    @invariant()
+    def a_page_over_a_gap_is_never_good(self) -> None:
+        page = self.deployment.page()
+        if page.is_complete():
+            return
+        assert self.deployment.faults, (page.gaps, page.problems)
+        for group in page.groups:
+            assert group.verdict is not Verdict.GOOD, group.line
+
+    def teardown(self) -> None:
+        """Heal and stop everything; then a page without a gap must be the truth."""
+        self.deployment.lose_sends = self.deployment.lose_acks = self.deployment.ack_delay_ms = 0
+        for control in self.deployment.controls:
+            control.cut = False
+        for name in list(self.deployment.entries):
+            self.deployment.stop(name)
+        self.deployment.advance(40)
+        page = self.deployment.page()
+        if page.is_complete():
+            check_truth(page.groups, self.deployment.truth)
+        else:
+            check_not_above(page.groups, self.deployment.truth)
+
+
+def check_truth(groups: tuple[GroupPage, ...], truth: Truth) -> None:
+    """Compare every figure with the independent count."""
+    if not truth.arrived:
+        assert not groups
+        return
+    (group,) = groups
+    answered = [latency for outcome, latency, _ in truth.ends if outcome is Q.ANSWERED]
+    late = sum(1 for latency in answered if latency > TARGET_MS)
+    total = len(truth.ends) + truth.unended
+    assert group.arrived == truth.arrived == group.total
+    assert group.answered == len(answered) - late
+    assert group.late == late
+    assert group.partial == truth.count(Q.PARTIAL)
+    assert group.refusals() == truth.count(Q.REFUSED)
+    assert group.outcome_unknown == truth.count(Q.OUTCOME_UNKNOWN)
+    assert group.caller_gone == truth.count(Q.CALLER_GONE)
+    assert (group.total, group.lost, group.still_open) == (total, truth.unended, 0)
+    good = group.answered / total >= 0.99
+    assert group.verdict is (Verdict.GOOD if good else Verdict.MISSED), group.line
+    check_coverage(group, truth)
+    check_percentiles(group, [latency for _, latency, _ in truth.ends], answered, total)
+
+
+def check_coverage(group: GroupPage, truth: Truth) -> None:
+    delivering = (Q.ANSWERED, Q.PARTIAL)
+    covered = [share if outcome in delivering else 0 for outcome, _, share in truth.ends]
+    counts = {item.name: item.count for item in group.coverage}
+    assert counts["all"] == covered.count(4)
+    assert counts["none"] == covered.count(0)
+    assert counts["under 50%"] == covered.count(1)
+    assert counts["50% to 80%"] == covered.count(2) + covered.count(3)
+    if covered:
+        assert group.coverage_mean is not None
+        assert math.isclose(group.coverage_mean, sum(covered) / len(covered) / 4)
+
+
+def check_percentiles(group: GroupPage, every: list[int], whole: list[int], total: int) -> None:
+    for item in group.percentiles:
+        rank = math.ceil(total * round(item.percent * 10) / 1000)
+        for latencies, shown in ((every, item.all_us), (whole, item.whole_us)):
+            if rank > len(latencies):
+                assert shown is None
+                continue
+            exact = sorted(latencies)[rank - 1] * 1000
+            assert shown is not None
+            assert exact <= shown <= max(exact, 1) * HISTOGRAM_ERROR, (exact, shown)
+
+
+def check_not_above(groups: tuple[GroupPage, ...], truth: Truth) -> None:
+    """With a gap the page may know less than the truth, never more."""
+    for group in groups:
+        assert group.arrived <= truth.arrived
+        assert group.answered + group.late <= truth.count(Q.ANSWERED)
+        assert group.verdict is not Verdict.GOOD
+
+
+TestPageMachine = PageMachine.TestCase
+TestPageMachine.settings = settings(
+    derandomize=True, database=None, deadline=None, max_examples=200, stateful_step_count=40
+)
+assert issubclass(TestPageMachine, unittest.TestCase)
