--- a/packages/decisions/src/spindle_decisions/serving/upstream_board.py
+++ b/packages/decisions/src/spindle_decisions/serving/upstream_board.py
@@ -14,8 +14,9 @@
 from spindle_decisions.serving.snapshot_id import SnapshotId
 from spindle_decisions.serving.upstream_state import UpstreamState
 
-QUEUE_PER_SLOT = 2.0
-HARD_QUEUE_FACTOR = 2.0
+WAIT_SHARE = 0.15
+QUEUE_PER_SLOT = 8
+LEAST_WAIT_S = 0.01
 NOBODY: frozenset[str] = frozenset()
 
 
@@ -91,21 +92,23 @@
             return usable
         return self.policy.in_use(usable, now)
 
-    def pick(
-        self, service: str, snapshot: SnapshotId | None, avoid: Collection[str], now: float
-    ) -> UpstreamState | None:
-        """Take a slot at the best free replica, or return `None` when none is free."""
-        ready = self._ready(self.candidates(service, snapshot, avoid, now))
+    def pick(self, candidates: Sequence[UpstreamState], now: float) -> UpstreamState | None:
+        """Take a slot at the best free candidate, or return `None` when none is free."""
+        ready = [state for state in candidates if self.policy.admits(state)]
         if not ready:
             return None
         state = self.policy.choose(ready, now, self.rng)
-        state.inflight += 1
+        self.take(state)
         return state
 
+    def take(self, state: UpstreamState) -> None:
+        """Take a slot at this replica."""
+        state.inflight += 1
+
     def enqueue(self, service: str, waiter: SlotWaiter) -> bool:
         """Wait for a slot; return false when the queue of the service is full."""
         queue = self.queues.get(service)
-        if queue is None or len(queue) >= HARD_QUEUE_FACTOR * self._soft_bound(service):
+        if queue is None or len(queue) >= self._queue_bound(service):
             return False
         queue.append(waiter)
         return True
@@ -120,13 +123,29 @@
         """Return how many queries wait at the service."""
         return len(self.queues.get(service, ()))
 
-    def fills(self, services: Iterable[str]) -> list[float]:
-        """Return how full the queue of each service is; 1 is its soft bound."""
-        return [len(self.queues[name]) / self._soft_bound(name) for name in services]
+    def fills(self, services: Iterable[str], left_s: float) -> list[float]:
+        """Return how full the queue of each service is for a request with so much time left.
+
+        A queue is full, 1.0, when the wait in it takes `WAIT_SHARE` of the time.
+        """
+        budget_s = max(LEAST_WAIT_S, WAIT_SHARE * left_s)
+        return [self.expected_wait_s(name) / budget_s for name in services]
+
+    def expected_wait_s(self, service: str) -> float:
+        """Return how long the last in the queue of the service may wait for a slot."""
+        queued = self.queued(service)
+        if not queued:
+            return 0.0
+        states = [state for state in self.by_service[service] if not state.draining]
+        at_once = sum(max(1, state.inflight) for state in states)
+        if not at_once:
+            return 0.0
+        latency_s = sum(state.latency.value_s for state in states) / len(states)
+        return queued * latency_s / at_once
 
     def answered(self, state: UpstreamState, latency_s: float, now: float) -> bool:
         """Give a slot back after a good answer; return true when this restores the replica."""
-        state.latency.observe(latency_s)
+        state.latency.observe(latency_s, now)
         state.answered_at = now
         state.limit.answered(latency_s, state.inflight, now)
         restored = state.ejection.succeeded()
@@ -154,7 +173,7 @@
         """
         ejected = False
         if slow:
-            state.latency.observe_at_least(now - sent_at)
+            state.latency.observe_unfinished(now - sent_at, now)
             ejected = state.answered_at < sent_at and state.ejection.failed(now)
         self._give_back(state, now)
         return ejected
@@ -183,6 +202,9 @@
 
     def probe_failed(self, state: UpstreamState, now: float) -> bool:
         """Learn that the replica did not answer a status request; return true if ejected."""
+        if state.ejection.ejected(now):
+            state.ejection.prolong(now)
+            return False
         return state.ejection.failed(now)
 
     def grant_waiting(self, service: str, now: float) -> None:
@@ -194,12 +216,12 @@
                 queue.popleft()
                 continue
             snapshot = waiter.snapshot_for(service)
-            avoid = waiter.avoids(service)
-            if not self.candidates(service, snapshot, avoid, now):
+            candidates = self.candidates(service, snapshot, waiter.avoids(service), now)
+            if not candidates:
                 queue.popleft()
                 waiter.unservable(service, now)
                 continue
-            state = self.pick(service, snapshot, avoid, now)
+            state = self.pick(candidates, now)
             if state is None:
                 return
             queue.popleft()
@@ -209,9 +231,6 @@
         state.inflight -= 1
         self.grant_waiting(state.upstream.service, now)
 
-    def _ready(self, candidates: Sequence[UpstreamState]) -> list[UpstreamState]:
-        return [state for state in candidates if self.policy.admits(state)]
-
     def _held_by(self, service: str) -> set[SnapshotId]:
         held: set[SnapshotId] = set()
         for state in self.by_service.get(service, ()):
@@ -219,9 +238,9 @@
                 held |= state.snapshots
         return held
 
-    def _soft_bound(self, service: str) -> float:
+    def _queue_bound(self, service: str) -> int:
         slots = sum(item.upstream.slots for item in self.by_service.get(service, ()))
-        return max(1.0, QUEUE_PER_SLOT * slots)
+        return QUEUE_PER_SLOT * max(1, slots)
 
 
 def _moved(state: UpstreamState, host: str, port: int) -> bool:
