--- a/packages/daemon/src/spindle_daemon/components/account/summary_store.py
+++ b/packages/daemon/src/spindle_daemon/components/account/summary_store.py
@@ -35,7 +35,7 @@
         self.spindle = spindle
         self.sink = sink
         self.control = spindle.settings.instance.name
-        self.ledger = SummaryLedger(const.MAX_DAY_BYTES)
+        self.ledger = SummaryLedger()
         self.queue: Queue = Queue(maxsize=const.STORE_QUEUE_REPORTS)
         self.refused = 0
         self.dropped = 0
@@ -65,11 +65,8 @@
         day = day_of_minute(summary.minute)
         self._know(day)
         if self.ledger.is_newer(summary):
-            if not self.ledger.has_room(day, len(report.data)):
-                self._refuse(f"day {day} is full")
-                return
             self.sink.put(report.instance, report.incarnation, report.minute, report.data)
-            self.ledger.add(summary, len(report.data))
+            self.ledger.add(summary)
         ack = SummaryAck(
             self.control, report.instance, report.incarnation, report.minute, summary.revision
         )
@@ -113,12 +110,6 @@
         first = first_minute_of(datetime.date.fromisoformat(day))
         last = first + HOURS_PER_DAY * MINUTES_PER_HOUR - 1
         self.ledger.learn(day, self.sink.load(first, last))
-        self._forget_old_days()
-
-    def _forget_old_days(self) -> None:
-        for day in self.sink.days()[: -const.MAX_DAYS]:
-            _LOGGER.info("account: day %s is older than %s days and removed", day, const.MAX_DAYS)
-            self.sink.forget(day)
 
     def _refuse(self, reason: str) -> None:
         self.refused += 1
--- a/packages/decisions/src/spindle_decisions/account/summary_ledger.py
+++ b/packages/decisions/src/spindle_decisions/account/summary_ledger.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterable
 
 from spindle_decisions.account.day import day_of_minute
-from spindle_decisions.account.day_ledger import DayLedger
 from spindle_decisions.account.minute_summary import MinuteSummary, decode_summary
 from spindle_decisions.exceptions import FrameError
 
 MAX_KNOWN_DAYS = 3
+SummaryKey = tuple[str, int, int]
 
 
 class SummaryLedger:
@@ -17,9 +17,8 @@
     used again is learned again from the disk.
     """
 
-    def __init__(self, max_day_bytes: int) -> None:
-        self.max_day_bytes = max_day_bytes
-        self.days: dict[str, DayLedger] = {}
+    def __init__(self) -> None:
+        self.days: dict[str, dict[SummaryKey, int]] = {}
 
     def knows(self, day: str) -> bool:
         """Tell whether the revisions of a day are in memory."""
@@ -27,7 +26,7 @@
 
     def learn(self, day: str, summaries: Iterable[bytes]) -> None:
         """Take in the summaries of a day from the disk; unreadable ones count as absent."""
-        self.days[day] = DayLedger()
+        self.days[day] = {}
         while len(self.days) > MAX_KNOWN_DAYS:
             del self.days[next(iter(self.days))]
         for data in summaries:
@@ -35,24 +34,19 @@
                 summary = decode_summary(data)
             except FrameError:
                 continue
-            self.add(summary, len(data))
+            self.add(summary)
 
     def is_newer(self, summary: MinuteSummary) -> bool:
         """Tell whether a summary has a higher revision than the one written."""
-        written = self.days[day_of_minute(summary.minute)].revisions.get(_key(summary), 0)
+        written = self.days[day_of_minute(summary.minute)].get(_key(summary), 0)
         return summary.revision > written
 
-    def has_room(self, day: str, size: int) -> bool:
-        """Tell whether a summary of `size` bytes may still be written to a day."""
-        return self.days[day].bytes + size <= self.max_day_bytes
-
-    def add(self, summary: MinuteSummary, size: int) -> None:
+    def add(self, summary: MinuteSummary) -> None:
         """Note that a summary is on disk."""
         day = self.days[day_of_minute(summary.minute)]
         key = _key(summary)
-        day.revisions[key] = max(day.revisions.get(key, 0), summary.revision)
-        day.bytes += size
+        day[key] = max(day.get(key, 0), summary.revision)
 
 
-def _key(summary: MinuteSummary) -> tuple[str, int, int]:
+def _key(summary: MinuteSummary) -> SummaryKey:
     return (summary.instance, summary.incarnation, summary.minute)
--- a/tests/decisions/account/deployment.py
+++ b/tests/decisions/account/deployment.py
@@ -15,7 +15,6 @@
 TICK_MS = 1000
 CHECKPOINT_TICKS = 10
 GROUP = "comptoir"
-DAY_BYTES = 1 << 30
 
 
 @dataclasses.dataclass
@@ -39,7 +38,7 @@
     """A control instance: it keeps what is new and can be cut off."""
 
     def __init__(self) -> None:
-        self.ledger = SummaryLedger(DAY_BYTES)
+        self.ledger = SummaryLedger()
         self.disk: list[bytes] = []
         self.cut = False
 
@@ -50,11 +49,11 @@
             self.ledger.learn(day, self.disk)
         if self.ledger.is_newer(summary):
             self.disk.append(data)
-            self.ledger.add(summary, len(data))
+            self.ledger.add(summary)
         return summary.revision
 
     def restart(self) -> None:
-        self.ledger = SummaryLedger(DAY_BYTES)
+        self.ledger = SummaryLedger()
 
 
 class Entry:
