--- a/packages/daemon/src/spindle_daemon/components/control_link/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/coordinator.py
@@ -29,9 +29,10 @@
     """Keeps an entry instance in touch with the control instances.
 
     Every control instance is asked while the current one is in doubt; otherwise
-    one of the others is asked now and then, so that each knows of its neighbours. The instance becomes ready once it has a
-    catalog and had the time to hear of a newer one from control instances and
-    from other entry instances.
+    one of the others is asked now and then, so that each knows of its
+    neighbours. The instance becomes ready once it has a catalog and had the
+    time to hear of a newer one from control instances and from other entry
+    instances.
     """
 
     def __init__(self, spindle: Spindle, holder: CatalogHolder, fetcher: CatalogFetcher) -> None:
