Drive the agreement through faults against an oracle

The oracle holds one committed log, one leader a term, one vote a folder and term, and that nothing leaves before the sync it rests on; a leader holds all that was committed, a read sees all that was committed before it, and after healing every folder votes and holds the same.

A crash may leave entries on disk without the hard state of the same batch, as the hard state is written last. A node now restores at least the term of its last entry.

--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/consensus/delivery.py
@@ -0,0 +1,37 @@
+"""Handing committed entries out to be applied."""
+
+from spindle_decisions.consensus.entry_kind import EntryKind
+from spindle_decisions.consensus.log_entry import LogEntry
+from spindle_decisions.consensus.node_state import NodeState
+from spindle_decisions.consensus.raft_event_kind import RaftEventKind
+
+
+class Delivery:
+    """Hands out each committed entry once, as soon as it is on the own disk too."""
+
+    def __init__(self, state: NodeState) -> None:
+        self.state = state
+
+    def take_committed(self) -> tuple[LogEntry, ...]:
+        """Return the entries that may be applied now, in order."""
+        state = self.state
+        last = min(state.commit_index, state.outbox.persisted_index)
+        if last <= state.applied_index:
+            return ()
+        entries = state.log.between(state.applied_index + 1, last)
+        state.applied_index = last
+        for entry in entries:
+            if entry.kind is EntryKind.MEMBERSHIP:
+                self.on_membership_committed(entry)
+        return entries
+
+    def on_membership_committed(self, entry: LogEntry) -> None:
+        """Report a committed membership, and stop leading if this node is no voter in it."""
+        state = self.state
+        members = ", ".join(
+            member.name if member.voter else f"{member.name} (learner)"
+            for member in state.history.at(entry.index).membership.members
+        )
+        state.record(RaftEventKind.MEMBERS_CHANGED, f"members are {members}")
+        if state.leadership and not state.is_voter:
+            state.become_follower(state.term, None, "removed from the membership")
--- a/packages/decisions/src/spindle_decisions/consensus/node_state.py
+++ b/packages/decisions/src/spindle_decisions/consensus/node_state.py
@@ -49,6 +49,7 @@
         self.commit_index = self.log.base_index
         self.applied_index = self.log.base_index
         self.outbox = Outbox(self.log.last_index)
+        self.enter_restored_term()
         self.candidacy: Role | None = None
         self.leader: str | None = None
         self.leader_contact_at = -math.inf
@@ -75,6 +76,11 @@
             self.log.append(entry)
             self.history.append(entry)
 
+    def enter_restored_term(self) -> None:
+        """Be in no earlier term than the log, which a crash may have left ahead."""
+        if self.log.last_term > self.term:
+            self.enter_term(self.log.last_term, "")
+
     @property
     def membership(self) -> MembershipSet:
         """Return the membership in force for this node."""
--- a/packages/decisions/src/spindle_decisions/consensus/raft_node.py
+++ b/packages/decisions/src/spindle_decisions/consensus/raft_node.py
@@ -3,11 +3,11 @@
 import math
 import random
 
+from spindle_decisions.consensus.delivery import Delivery
 from spindle_decisions.consensus.elections import Elections
 from spindle_decisions.consensus.entry_kind import EntryKind
 from spindle_decisions.consensus.following import Following
 from spindle_decisions.consensus.leadership import Leadership
-from spindle_decisions.consensus.log_entry import LogEntry
 from spindle_decisions.consensus.membership_change import MembershipChange
 from spindle_decisions.consensus.membership_change_kind import MembershipChangeKind
 from spindle_decisions.consensus.membership_changes import MembershipChanges
@@ -28,7 +28,6 @@
 from spindle_decisions.consensus.operator_acts import OperatorActs
 from spindle_decisions.consensus.progress import Progress
 from spindle_decisions.consensus.proposed_at import ProposedAt
-from spindle_decisions.consensus.raft_event_kind import RaftEventKind
 from spindle_decisions.consensus.reads import Reads
 from spindle_decisions.consensus.ready import Ready
 from spindle_decisions.consensus.repair import Repair
@@ -65,6 +64,7 @@
         self.changes = MembershipChanges(state, self.replication)
         self.repair = Repair(state, self.changes)
         self.operator_acts = OperatorActs(state, self.elections)
+        self.delivery = Delivery(state)
 
     @property
     def role(self) -> Role:
@@ -243,7 +243,7 @@
             self.reads.flush(state.leadership)
             self.replication.flush(state.leadership)
         batch = state.outbox.take_batch(state.now)
-        committed = self.take_committed()
+        committed = self.delivery.take_committed()
         ready = Ready(
             state.outbox.take_ready(),
             batch,
@@ -257,30 +257,6 @@
         state.events = []
         return ready
 
-    def take_committed(self) -> tuple[LogEntry, ...]:
-        """Return the entries that are committed and on the own disk, each once."""
-        state = self.state
-        last = min(state.commit_index, state.outbox.persisted_index)
-        if last <= state.applied_index:
-            return ()
-        entries = state.log.between(state.applied_index + 1, last)
-        state.applied_index = last
-        for entry in entries:
-            if entry.kind is EntryKind.MEMBERSHIP:
-                self.on_membership_committed(entry)
-        return entries
-
-    def on_membership_committed(self, entry: LogEntry) -> None:
-        """Report a committed membership, and stop leading if this node is no voter in it."""
-        state = self.state
-        members = ", ".join(
-            member.name if member.voter else f"{member.name} (learner)"
-            for member in self.membership_at(entry.index).members
-        )
-        state.record(RaftEventKind.MEMBERS_CHANGED, f"members are {members}")
-        if state.leadership and not state.is_voter:
-            state.become_follower(state.term, None, "removed from the membership")
-
     def persisted(self, now: float, seq: int) -> None:
         """Take in that batch `seq` is synced."""
         lead = self.advance(now)
--- a/tests/decisions/consensus/common.py
+++ b/tests/decisions/consensus/common.py
@@ -52,6 +52,11 @@
             return self.entries[-1].index
         return self.snapshot.index if self.snapshot else 0
 
+    def term_at(self, index: int) -> int | None:
+        if self.snapshot and index == self.snapshot.index:
+            return self.snapshot.term
+        return next((entry.term for entry in self.entries if entry.index == index), None)
+
     def compact(self, snapshot: Snapshot) -> None:
         self.snapshot = snapshot
         self.entries = [entry for entry in self.entries if entry.index > snapshot.index]
--- /dev/null
+++ b/tests/decisions/consensus/oracle.py
@@ -0,0 +1,134 @@
+"""What must hold, kept apart from the nodes that are checked."""
+
+import msgspec
+
+from spindle_decisions.consensus.entry_kind import EntryKind
+from spindle_decisions.consensus.log_entry import LogEntry
+from spindle_decisions.consensus.member import Member
+from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.consensus.messages import AppendReply, RaftMessage, Vote, VoteReply
+from spindle_decisions.consensus.proposed_at import ProposedAt
+from spindle_decisions.consensus.role import Role
+from tests.decisions.consensus.common import Instance
+
+FIRST_INDEX = 2
+
+
+class Oracle:
+    """One committed log, one leader a term, one vote a folder and term."""
+
+    def __init__(self, membership: MembershipSet) -> None:
+        self.log: list[LogEntry] = []
+        self.commit_terms: list[int] = []
+        self.membership = membership
+        self.leaders: dict[int, tuple[str, str]] = {}
+        self.votes: dict[tuple[str, int], str] = {}
+        self.proposed: dict[ProposedAt, bytes] = {}
+        self.acknowledged: set[bytes] = set()
+        self.read_floor: dict[tuple[str, int], int] = {}
+        self.seen_commit: dict[str, int] = {}
+        self.reads_served = 0
+        self.promotions = 0
+
+    @property
+    def last_index(self) -> int:
+        return FIRST_INDEX - 1 + len(self.log)
+
+    def entry(self, index: int) -> LogEntry:
+        return self.log[index - FIRST_INDEX]
+
+    def commands(self, last_index: int) -> list[bytes]:
+        committed = self.log[: max(0, last_index - FIRST_INDEX + 1)]
+        return [entry.data for entry in committed if entry.kind is EntryKind.COMMAND]
+
+    def check(self, name: str, instance: Instance) -> None:
+        """Check one instance after each act."""
+        self.check_committed(name, instance)
+        self.check_leader(name, instance)
+        assert instance.applied == self.commands(instance.applied_index), "applied state differs"
+
+    def check_committed(self, name: str, instance: Instance) -> None:
+        """Committed entries never differ at an index and follow one another."""
+        state = instance.node.state
+        first = max(state.log.base_index + 1, self.seen_commit.get(name, 0) + 1)
+        for entry in state.log.between(first, state.commit_index):
+            if entry.index <= self.last_index:
+                assert self.entry(entry.index) == entry, f"{entry.index} committed twice"
+                continue
+            assert entry.index == self.last_index + 1, "gap in what is committed"
+            self.commit_terms.append(instance.node.term)
+            self.commit(entry)
+        self.seen_commit[name] = max(self.seen_commit.get(name, 0), state.commit_index)
+
+    def commit(self, entry: LogEntry) -> None:
+        self.log.append(entry)
+        if entry.kind is EntryKind.MEMBERSHIP:
+            self.membership = msgspec.msgpack.decode(entry.data, type=MembershipSet)
+        command = self.proposed.get(ProposedAt(entry.index, entry.term))
+        if command is not None:
+            assert entry.data == command, "another command at the place of a proposal"
+            self.acknowledged.add(command)
+
+    def check_leader(self, name: str, instance: Instance) -> None:
+        """At most one leader in a term, and it holds all that is committed."""
+        node = instance.node
+        if node.role is not Role.LEADER:
+            return
+        leader = (name, instance.disk.folder_id)
+        known = self.leaders.setdefault(node.term, leader)
+        assert known == leader, f"two leaders in term {node.term}"
+        for index in range(max(node.state.log.base_index + 1, FIRST_INDEX), self.last_index + 1):
+            if self.commit_terms[index - FIRST_INDEX] > node.term:
+                return
+            assert node.term_at(index) == self.entry(index).term, f"leader lacks {index}"
+
+    def check_message(self, instance: Instance, message: RaftMessage) -> None:
+        """Nothing leaves that rests on something which is not on disk."""
+        disk = instance.disk
+        match message:
+            case Vote():
+                self.check_vote(instance, message.term, message.sender)
+            case VoteReply(granted=True):
+                self.check_vote(instance, message.term, message.recipient)
+            case AppendReply(success=True):
+                assert disk.hard_state.term >= message.term, "acknowledged in a term not on disk"
+                assert disk.last_index >= message.match_index, "acknowledged before the sync"
+
+    def check_match(self, sender: Instance, recipient: Instance, message: RaftMessage) -> None:
+        """What is acknowledged to a leader is the same entry that the leader holds."""
+        node = recipient.node
+        if not isinstance(message, AppendReply) or not message.success:
+            return
+        if node.role is not Role.LEADER or node.term != message.term:
+            return
+        wanted = node.term_at(message.match_index)
+        held = sender.disk.term_at(message.match_index)
+        if wanted is not None and held is not None:
+            assert held == wanted, "acknowledged another entry"
+
+    def check_vote(self, instance: Instance, term: int, candidate: str) -> None:
+        """One vote in a term, on disk before it leaves, and none from a blank folder."""
+        disk = instance.disk
+        assert disk.snapshot is not None, "a blank folder votes"
+        assert disk.hard_state.term >= term, "vote left before its sync"
+        if disk.hard_state.term == term:
+            assert disk.hard_state.vote == candidate, "vote left before its sync"
+        known = self.votes.setdefault((disk.folder_id, term), candidate)
+        assert known == candidate, "two votes in one term"
+
+    def check_promotion(self, index: int, member: Member, instance: Instance) -> None:
+        """A learner votes only when it holds everything up to the promotion."""
+        self.promotions += 1
+        assert instance.disk.folder_id == member.folder_id, "promoted a lost folder"
+        assert instance.disk.last_index >= index - 1, "promoted too early"
+
+    def requested_read(self, name: str, read_id: int) -> None:
+        self.read_floor[name, read_id] = self.last_index
+
+    def check_read(self, name: str, read_id: int, index: int) -> None:
+        """A read sees all that was committed anywhere when it was asked for."""
+        floor = self.read_floor.get((name, read_id))
+        if floor is None:
+            return
+        assert index >= floor, f"read at {index}, {floor} was committed before"
+        self.reads_served += 1
