--- a/packages/cli/src/spindle_cli/page/plots.py
+++ b/packages/cli/src/spindle_cli/page/plots.py
@@ -1,6 +1,7 @@
 """The plots of the page as SVG."""
 
 import io
+import math
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -10,6 +11,7 @@
 
 from spindle_decisions.account.day import clock_of_ms
 from spindle_decisions.account.group_page import GroupPage
+from spindle_decisions.account.latency_figures import BARS_PER_DOUBLING
 from spindle_decisions.account.page_window import PageWindow
 from spindle_decisions.account.series_point import SeriesPoint
 
@@ -106,11 +108,15 @@
 
 
 def _mark_target(axes: Any, group: GroupPage) -> None:
-    within = sum(1 for bar in group.latency if bar.up_to_us <= group.target_max_ms * US_PER_MS)
-    if not 0 < within < len(group.latency):
+    if not group.latency or not group.target_max_ms:
         return
-    axes.axvline(within - 0.5, color="black", linewidth=0.8, linestyle="--")
-    axes.annotate("target", (within - 0.5, 1), xycoords=("data", "axes fraction"))
+    # Bars grow by the square root of two, so two of them double the latency.
+    ratio = group.target_max_ms * US_PER_MS / group.latency[0].up_to_us
+    place = BARS_PER_DOUBLING * math.log2(ratio) + 0.5
+    if not 0 < place < len(group.latency):
+        return
+    axes.axvline(place, color="black", linewidth=0.8, linestyle="--")
+    axes.annotate("target", (place, 1), xycoords=("data", "axes fraction"))
 
 
 def _limits(values: Sequence[float]) -> tuple[float, float]:
--- a/packages/decisions/src/spindle_decisions/account/latency_figures.py
+++ b/packages/decisions/src/spindle_decisions/account/latency_figures.py
@@ -38,7 +38,7 @@
 
 
 def latency_bars(totals: GroupTotals) -> tuple[LatencyBar, ...]:
-    """Return the distribution in bars that grow by the square root of two."""
+    """Return the distribution in bars that grow by the square root of two, none left out."""
     counts: dict[int, list[int]] = {}
     for index in range(totals.whole.counts_len):
         whole = totals.whole.get_count_at_index(index)
@@ -48,9 +48,10 @@
         bar = counts.setdefault(_bar_of(totals.whole.get_value_from_index(index)), [0, 0])
         bar[0] += whole
         bar[1] += other
-    return tuple(
-        LatencyBar(_upper_us(bar), whole, other) for bar, (whole, other) in sorted(counts.items())
-    )
+    if not counts:
+        return ()
+    bars = range(min(counts), max(counts) + 1)
+    return tuple(LatencyBar(_upper_us(bar), *counts.get(bar, (0, 0))) for bar in bars)
 
 
 def _bar_of(value_us: int) -> int:
--- a/packages/decisions/src/spindle_decisions/account/page_builder.py
+++ b/packages/decisions/src/spindle_decisions/account/page_builder.py
@@ -19,7 +19,7 @@
 from spindle_decisions.account.summary_set import SummarySet
 from spindle_decisions.account.verdicts import judge, verdict_line
 
-MAX_MISSING_SHOWN = 20
+MAX_MISSING_SHOWN = 10
 
 
 def build_page(
