--- a/packages/daemon/src/spindle_daemon/components/control/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/control/__init__.py
@@ -1,9 +1,9 @@
 """A control instance: agreement, storage, catalog feed, membership and operators."""
 
 import gevent
-from spindle_decisions.state.replicated_state import create_replicated_state
 
 from spindle_daemon.components.admin.admin_app import AdminApp
+from spindle_daemon.components.control.const import STATUS_PERIOD_S
 from spindle_daemon.components.control.folder_writer import FolderWriter
 from spindle_daemon.components.control.instance_registry import InstanceRegistry
 from spindle_daemon.components.control.operator_api import OperatorApi
@@ -12,6 +12,7 @@
 from spindle_daemon.components.control_link.catalog_sender import CatalogSender
 from spindle_daemon.components.control_link.proposal_client import ProposalClient
 from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.periodic import run_every
 from spindle_daemon.settings.control_settings import ControlSettings
 from spindle_daemon.storage.data_folder import DataFolder, open_data_folder
 from spindle_decisions.commands.command import Result
@@ -19,6 +20,7 @@
 from spindle_decisions.consensus.raft_node import RaftNode, create_raft_node
 from spindle_decisions.consensus.restored_state import RestoredState
 from spindle_decisions.consensus.settings import RaftSettings
+from spindle_decisions.state.replicated_state import create_replicated_state
 from spindle_decisions.timeline.event_kind import EventKind
 from spindle_decisions.wire.fetch_config import FetchConfig
 from spindle_decisions.wire.raft_packet import RaftPacket
@@ -39,7 +41,7 @@
     _connect(spindle, driver, registry)
     OperatorApi(spindle, driver, registry, restored.folder_id).register(admin)
     driver.start()
-    gevent.spawn(registry.run_forever)
+    gevent.spawn(run_every, "membership", lambda: STATUS_PERIOD_S, registry.share)
     spindle.ready = True
     return folder
 
