--- a/packages/devkit/src/spindle_devkit/upstream/executor.py
+++ b/packages/devkit/src/spindle_devkit/upstream/executor.py
@@ -1,6 +1,5 @@
 """Runs the requests of one stand-in upstream in its slots."""
 
-import dataclasses
 import time
 from collections.abc import Callable
 from typing import Any
@@ -8,14 +7,15 @@
 import gevent
 import msgspec
 
-from spindle_decisions.wire.headers import (
-    HEADER_DEADLINE_MS,
-    HEADER_REQUEST_ID,
-    HEADER_SNAPSHOT,
-)
 from spindle_devkit.upstream import const
 from spindle_devkit.upstream.answer import Answer
+from spindle_devkit.upstream.answer_spoiler import AnswerSpoiler
 from spindle_devkit.upstream.close_watch import CloseWatch
+from spindle_devkit.upstream.environ import (
+    ENVIRON_DEADLINE_MS,
+    ENVIRON_REQUEST_ID,
+    ENVIRON_SNAPSHOT,
+)
 from spindle_devkit.upstream.execution import Execution
 from spindle_devkit.upstream.execution_state import ExecutionState
 from spindle_devkit.upstream.query_answer import QueryAnswer
@@ -31,26 +31,16 @@
 KIND_RUN = "run"
 
 _MS_PER_S = 1000.0
-_FOREIGN_ID = "not-the-id-you-sent"
 
 monotonic = time.monotonic
 
 
-def environ_key(header: str) -> str:
-    """Return the WSGI environment key of a header."""
-    return "HTTP_" + header.upper().replace("-", "_")
-
-
-_ENVIRON_REQUEST_ID = environ_key(HEADER_REQUEST_ID)
-_ENVIRON_SNAPSHOT = environ_key(HEADER_SNAPSHOT)
-_ENVIRON_DEADLINE_MS = environ_key(HEADER_DEADLINE_MS)
-
-
 class Executor:
     """Decides on each arrived request, runs it and records what became of it."""
 
     def __init__(self, upstream: StandinUpstream) -> None:
         self.upstream = upstream
+        self.spoiler = AnswerSpoiler(upstream)
         self.runs = 0
 
     def wait_while_frozen(self) -> None:
@@ -66,7 +56,7 @@
         if refusal:
             return refusal
         answer = self._execute(execution, handler, lambda: self._rows(request, execution))
-        return answer and self._spoil(answer)
+        return answer and self.spoiler.spoil(answer)
 
     def run(self, environ: dict[str, Any], body: bytes, handler: Any) -> Answer | None:
         """Run a non-idempotent request; once it holds a slot, nothing cancels it."""
@@ -76,17 +66,17 @@
         if refusal:
             return refusal
         answer = self._execute(execution, handler, lambda: self._outcome(request))
-        return answer and self._spoil(answer)
+        return answer and self.spoiler.spoil(answer)
 
     def _record(
         self, kind: str, key: str, asked: msgspec.Raw, environ: dict[str, Any]
     ) -> Execution:
-        remaining = environ.get(_ENVIRON_DEADLINE_MS)
+        remaining = environ.get(ENVIRON_DEADLINE_MS)
         execution = Execution(
             upstream=self.upstream.settings.name,
             kind=kind,
-            request_id=environ.get(_ENVIRON_REQUEST_ID, ""),
-            snapshot=environ.get(_ENVIRON_SNAPSHOT, ""),
+            request_id=environ.get(ENVIRON_REQUEST_ID, ""),
+            snapshot=environ.get(ENVIRON_SNAPSHOT, ""),
             key=key,
             asked=bytes(asked)[: const.ASKED_KEPT_BYTES].decode(errors="replace"),
             remaining_ms=float(remaining) if remaining else None,
@@ -188,22 +178,6 @@
             RunAnswer(request.service, request.key, name, self.runs, request.body)
         )
 
-    def _spoil(self, answer: Answer) -> Answer:
-        behavior = self.upstream.behavior
-        if behavior.late_next > 0:
-            behavior.late_next -= 1
-            gevent.sleep(behavior.late_s)
-        if behavior.swap_next > 0:
-            behavior.swap_next -= 1
-            answer = self.upstream.swaps.exchange(answer)
-        if behavior.wrong_id_next > 0:
-            behavior.wrong_id_next -= 1
-            answer = dataclasses.replace(answer, request_id=_FOREIGN_ID)
-        if behavior.truncate_next > 0:
-            behavior.truncate_next -= 1
-            answer = dataclasses.replace(answer, truncated=True)
-        return answer
-
 
 def _refused(execution: Execution, status: str, code: str) -> Answer:
     execution.state = ExecutionState.REFUSED
--- a/tests/devkit/test_settings.py
+++ b/tests/devkit/test_settings.py
@@ -1,13 +1,17 @@
 import pathlib
 import tempfile
 import unittest
+from collections.abc import Callable
 
+import typer
 from nose2.tools import params
 
 from spindle_decisions.exceptions import SettingsError
 from spindle_devkit.endpoint import Endpoint
 from spindle_devkit.proxy.load_settings import load_settings as load_proxy
+from spindle_devkit.proxy.main import run as run_proxy
 from spindle_devkit.upstream.load_settings import load_settings as load_upstream
+from spindle_devkit.upstream.main import run as run_upstreams
 
 UPSTREAM = "[upstream a]\nservice = s\nlisten = 127.0.0.1:1\n"
 PROXY = "[proxy]\nlisten = 127.0.0.1:1\n"
@@ -52,3 +56,13 @@
         self.addCleanup(path.unlink)
         with self.assertRaisesRegex(SettingsError, said):
             load_proxy(path)
+
+    @params(run_upstreams, run_proxy)
+    def test_wrong_settings_end_the_process_with_code_2(
+        self, run: Callable[[pathlib.Path], None]
+    ) -> None:
+        path = write("[unknown]\n")
+        self.addCleanup(path.unlink)
+        with self.assertRaises(typer.Exit) as caught, self.assertLogs(level="ERROR"):
+            run(path)
+        self.assertEqual(caught.exception.exit_code, 2)
