Let a learner ask until it votes, and a campaign wait for its disk

A learner now asks for admission until it votes; the leader ignores the request when it has the folder already. Weighed: treating any reply from an unknown folder as a request; a late reply of the lost folder could then undo a repair.

A focused test found a candidate whose disk takes longer than an election timeout: each new campaign raised the term and needed another sync, so it never led. A campaign now waits for the sync of the own vote.

--- a/packages/decisions/src/spindle_decisions/consensus/elections.py
+++ b/packages/decisions/src/spindle_decisions/consensus/elections.py
@@ -33,9 +33,15 @@
         state.leader = None
         if state.forced and state.now > state.forced_until:
             state.forced = None
-        if self.may_campaign():
+        if self.may_campaign() and not self.awaits_own_vote():
             self.start_pre_vote()
 
+    def awaits_own_vote(self) -> bool:
+        """Return whether a campaign still waits for the own disk; another would wait longer."""
+        outbox = self.state.outbox
+        own_vote_synced = outbox.hard_state_seq <= outbox.synced_seq
+        return self.state.candidacy is Role.CANDIDATE and not own_vote_synced
+
     def may_campaign(self) -> bool:
         """Return whether this node is a voter under its own folder and not removed since."""
         return self.state.is_voter and not self.state.removed
@@ -88,9 +94,7 @@
     def on_synced(self) -> None:
         """Count the own vote once it is on disk."""
         state = self.state
-        if state.candidacy is not Role.CANDIDATE:
-            return
-        if state.outbox.hard_state_seq > state.outbox.synced_seq:
+        if state.candidacy is not Role.CANDIDATE or self.awaits_own_vote():
             return
         self.granted.add(state.name)
         self.count_votes()
--- a/packages/decisions/src/spindle_decisions/consensus/repair.py
+++ b/packages/decisions/src/spindle_decisions/consensus/repair.py
@@ -31,11 +31,15 @@
         self.next_request_at = state.now
 
     def tick(self) -> None:
-        """Ask all known instances for admission while this folder is no member."""
+        """Ask all known instances for admission while this folder is no voter.
+
+        A learner asks as well: the entry that admitted it may have been cut off
+        from the log of the leader, which then counts nothing that it acknowledges.
+        """
         state = self.state
         if state.now < self.next_request_at:
             return
-        if state.me is not None and not state.removed:
+        if state.is_voter and not state.removed:
             return
         self.next_request_at = state.now + state.settings.election_max_s
         for name in self.known_names():
--- /dev/null
+++ b/tests/decisions/consensus/test_membership.py
@@ -0,0 +1,199 @@
+"""Membership changes, lost folders and the acts of an operator."""
+
+import unittest
+
+from nose2.tools import params
+
+from spindle_decisions.consensus.member import Member
+from spindle_decisions.consensus.membership_change import MembershipChange
+from spindle_decisions.consensus.membership_change_kind import MembershipChangeKind
+from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.consensus.raft_event_kind import RaftEventKind
+from spindle_decisions.consensus.role import Role
+from spindle_decisions.exceptions import MembershipChangeError
+from tests.decisions.consensus.common import Cluster, create_cluster
+
+REMOVE = MembershipChangeKind.REMOVE
+
+
+def followers(cluster: Cluster) -> list[str]:
+    """Return all names but that of the leader."""
+    return [name for name in cluster.names if name != cluster.elect()]
+
+
+def repaired(cluster: Cluster, name: str, folder_id: str) -> bool:
+    """Return whether the leader counts the folder as a voter, committed."""
+    state = cluster[cluster.elect()].node.state
+    mark = state.history.at(state.commit_index)
+    return Member(name, folder_id, True) in mark.membership.members
+
+
+class TestRepair(unittest.TestCase):
+    def test_second_loss_right_after_the_repair_costs_nothing(self) -> None:
+        cluster = create_cluster(3)
+        first, second = followers(cluster)
+        cluster.propose(b"before")
+        cluster.wipe(first, f"{first}-2")
+        while not repaired(cluster, first, f"{first}-2"):
+            cluster.run(0.02)
+            self.assertLess(cluster.now, 130, "not repaired")
+        lost = cluster.elect()
+        for name in (lost, second):
+            cluster.wipe(name, f"{name}-3")
+            cluster.run(12)
+            self.assertTrue(repaired(cluster, name, f"{name}-3"))
+            cluster.propose(b"after " + name.encode())
+        cluster.run(1)
+        for name in cluster.names:
+            self.assertEqual(len(cluster[name].applied), 3)
+
+    def test_learner_is_promoted_only_with_the_whole_log(self) -> None:
+        cluster = create_cluster(3)
+        name = followers(cluster)[0]
+        leader = cluster.elect()
+        cluster.wipe(name, f"{name}-2")
+        cluster.cuts.add((leader, name))
+        cluster.run(8)
+        node = cluster[leader].node
+        self.assertEqual(node.membership.find(name), Member(name, f"{name}-2", False))
+        with self.assertRaises(MembershipChangeError):
+            node.propose_membership(
+                cluster.now, MembershipChange(MembershipChangeKind.PROMOTE, name)
+            )
+        cluster.heal()
+        cluster.run(3)
+        self.assertTrue(repaired(cluster, name, f"{name}-2"))
+
+    def test_live_member_is_not_replaced(self) -> None:
+        cluster = create_cluster(3)
+        name = followers(cluster)[0]
+        leader = cluster.elect()
+        impostor = Cluster(name)[name]
+        impostor.node.state.folder_id = "impostor"
+        impostor.node.state.settings = cluster[name].settings
+        impostor.node.tick(cluster.now)
+        for request in impostor.node.poll().messages:
+            cluster.deliver(request)
+        self.assertTrue(repaired(cluster, name, f"{name}-1"))
+        self.assertIn(RaftEventKind.REFUSED, cluster.kinds(leader))
+
+    def test_learner_whose_admission_was_cut_off_asks_again(self) -> None:
+        cluster = create_cluster(3)
+        name, other = followers(cluster)
+        leader = cluster.elect()
+        cluster.wipe(name, f"{name}-2")
+        cluster.cuts.update({(leader, other), (other, leader)})
+        cluster.run(1.0)
+        node = cluster[leader].node
+        node.changes.is_live = lambda lead, member: member.name != name
+        node.tick(cluster.now)
+        cluster.run(0.3)
+        cluster.down.add(leader)
+        cluster.heal()
+        learner = cluster[name].node.state
+        cluster.run(1)
+        cluster.down.discard(leader)
+        cluster[leader].disk.entries = cluster[leader].disk.entries[:1]
+        cluster[leader].start(cluster.now)
+        cluster.run(15)
+        self.assertEqual(learner.membership.find(name).folder_id, f"{name}-2")
+        self.assertTrue(repaired(cluster, name, f"{name}-2"))
+
+
+class TestMembershipChanges(unittest.TestCase):
+    def test_one_change_at_a_time_and_none_before_the_term_has_committed(self) -> None:
+        cluster = create_cluster(5)
+        node = cluster[cluster.elect()].node
+        first, second = followers(cluster)[:2]
+        node.propose_membership(cluster.now, MembershipChange(REMOVE, first))
+        with self.assertRaises(MembershipChangeError):
+            node.propose_membership(cluster.now, MembershipChange(REMOVE, second))
+        cluster.settle()
+        node.state.leadership.first_index = node.last_index + 1
+        with self.assertRaises(MembershipChangeError):
+            node.propose_membership(cluster.now, MembershipChange(REMOVE, second))
+
+    def test_removed_member_stops_campaigning(self) -> None:
+        cluster = create_cluster(3)
+        name = followers(cluster)[0]
+        leader = cluster.elect()
+        term = cluster[leader].node.term
+        cluster.cut_off(name)
+        cluster[leader].node.propose_membership(cluster.now, MembershipChange(REMOVE, name))
+        cluster.run(1)
+        cluster.heal()
+        cluster.run(5)
+        self.assertTrue(cluster[name].node.state.removed)
+        self.assertEqual(cluster[name].node.role, Role.FOLLOWER)
+        self.assertEqual((cluster.leader(), cluster[leader].node.term), (leader, term))
+
+    def test_removed_leader_hands_over(self) -> None:
+        cluster = create_cluster(3)
+        leader = cluster.elect()
+        cluster[leader].node.propose_membership(cluster.now, MembershipChange(REMOVE, leader))
+        cluster.run(5)
+        self.assertNotIn(cluster.elect(), (None, leader))
+
+    @params("unknown member", "last live majority", "eighth member")
+    def test_refused(self, case: str) -> None:
+        cluster = create_cluster(7 if case == "eighth member" else 3)
+        node = cluster[cluster.elect()].node
+        change = MembershipChange(REMOVE, "nobody")
+        if case == "last live majority":
+            dead, other = followers(cluster)
+            cluster.down.add(dead)
+            cluster.run(3)
+            change = MembershipChange(REMOVE, other)
+        if case == "eighth member":
+            change = MembershipChange(MembershipChangeKind.ADD_LEARNER, "h", "h-1")
+        with self.assertRaises(MembershipChangeError):
+            node.propose_membership(cluster.now, change)
+
+
+class TestOperatorActs(unittest.TestCase):
+    def test_bootstrap_repeats_but_never_changes(self) -> None:
+        cluster = create_cluster(3)
+        node = cluster["a"].node
+        node.bootstrap(cluster.membership())
+        alone = MembershipSet((Member("a", "a-1", True),))
+        with self.assertRaises(MembershipChangeError):
+            node.bootstrap(alone)
+
+    def test_forced_membership_is_refused_while_a_quorum_is_there(self) -> None:
+        cluster = create_cluster(3)
+        alone = MembershipSet((Member("a", "a-1", True),))
+        cluster.elect()
+        with self.assertRaises(MembershipChangeError):
+            cluster["a"].node.force_membership(cluster.now, alone, "test")
+
+    def test_forced_membership_goes_on_alone_and_is_recorded(self) -> None:
+        cluster = create_cluster(3)
+        cluster.propose(b"kept")
+        cluster.run(0.5)
+        cluster.down.update("bc")
+        cluster.run(5)
+        alone = MembershipSet((Member("a", "a-1", True),))
+        cluster["a"].node.force_membership(cluster.now, alone, "two data centres burnt")
+        cluster.propose(b"after")
+        self.assertEqual(cluster["a"].applied, [b"kept", b"after"])
+        self.assertIn(RaftEventKind.MEMBERS_FORCED, cluster.kinds("a"))
+        logged = b"".join(entry.data for entry in cluster["a"].disk.entries)
+        self.assertIn(b"two data centres burnt", logged)
+
+    def test_forced_membership_does_not_cut_off_a_longer_log(self) -> None:
+        cluster = create_cluster(5)
+        cluster.elect()
+        cluster.cut_off("a")
+        cluster.run(3)
+        cluster.propose(b"a lacks this")
+        cluster.run(1)
+        cluster.down.update("cde")
+        cluster.heal()
+        cluster.run(5)
+        pair = MembershipSet((Member("a", "a-1", True), Member("b", "b-1", True)))
+        cluster["a"].node.force_membership(cluster.now, pair, "test")
+        cluster.run(3)
+        self.assertIsNone(cluster.leader())
+        cluster["b"].node.force_membership(cluster.now, pair, "test")
+        cluster.run(3)
+        self.assertEqual(cluster["a"].applied, [b"a lacks this"])
