--- a/tests/decisions/consensus/common.py
+++ b/tests/decisions/consensus/common.py
@@ -239,8 +239,8 @@
         return [event.kind for event in self[name].events]
 
 
-def create_cluster(size: int, **settings: float) -> Cluster:
+def create_cluster(size: int, seed: int = 1, **settings: float) -> Cluster:
     """Return a bootstrapped cluster of instances a, b, c and so on."""
-    cluster = Cluster("abcdefg"[:size], **settings)
+    cluster = Cluster("abcdefg"[:size], seed, **settings)
     cluster.bootstrap()
     return cluster
