Count no waiting message as a quorum after a freeze; promote live learners

A follower that wakes from a freeze finds old heartbeats in its sockets. They looked new, so it called itself fresh for up to a lease on the word of a leader that may be long gone. A gap of more than the shortest election timeout between two calls now marks a standstill, and for as long again no message counts as contact with a quorum.

A learner that holds the whole log of an idle cluster was promoted also when it had died since, which can raise the majority by an instance that is not there. It must have been heard within the lease.

Entries with a gap in their indexes are dropped before they reach the log.

--- a/packages/decisions/src/spindle_decisions/consensus/following.py
+++ b/packages/decisions/src/spindle_decisions/consensus/following.py
@@ -25,10 +25,13 @@
     def on_append(self, message: Append) -> None:
         """Take in entries that follow an entry which this log holds as well."""
         state = self.state
-        if not self.accept_leader(message):
-            return
         entries = message.entries
         prev_index = message.prev_index
+        if entries and entries[-1].index != prev_index + len(entries):
+            _LOGGER.warning("raft: dropped entries of %s with a gap", message.sender)
+            return
+        if not self.accept_leader(message):
+            return
         if prev_index < state.commit_index:
             entries = tuple(entry for entry in entries if entry.index > state.commit_index)
             prev_index = min(state.commit_index, prev_index + len(message.entries))
@@ -53,9 +56,7 @@
         if state.leader != message.sender:
             state.record(RaftEventKind.LEADER_ELECTED, "heard from the leader", message.sender)
         state.become_follower(message.term, message.sender, "another node leads")
-        state.leader_contact_at = state.now
-        contact_at = state.now - max(0.0, message.quorum_age_s)
-        state.quorum_contact_at = max(state.quorum_contact_at, contact_at)
+        state.note_leader_contact(message.quorum_age_s)
         state.removed = False
         state.forced = None
         state.reset_election_deadline()
--- a/packages/decisions/src/spindle_decisions/consensus/membership_changes.py
+++ b/packages/decisions/src/spindle_decisions/consensus/membership_changes.py
@@ -81,6 +81,8 @@
             raise MembershipChangeError(f"{member.name} votes already")
         if not self.holds_everything(lead, member):
             raise MembershipChangeError(f"{member.name} does not hold the whole log yet")
+        if not self.is_live(lead, member):
+            raise MembershipChangeError(f"{member.name} was not heard within the lease")
         return joined(self.others(member), Member(member.name, member.folder_id, True))
 
     def holds_everything(self, lead: Leadership, member: Member) -> bool:
--- a/packages/decisions/src/spindle_decisions/consensus/node_state.py
+++ b/packages/decisions/src/spindle_decisions/consensus/node_state.py
@@ -41,6 +41,7 @@
         self.rng = rng
         self.now = now
         self.started_at = now
+        self.woke_at = -math.inf
         self.term = restored.hard_state.term
         self.vote = restored.hard_state.vote
         self.log = RaftLog()
@@ -133,6 +134,24 @@
             return True
         return self.now - self.leader_contact_at < self.settings.election_min_s
 
+    def move_clock(self, now: float) -> None:
+        """Set the time, and note when the process seems to have stood still."""
+        if now - self.now > self.settings.election_min_s:
+            self.woke_at = now
+        self.now = max(self.now, now)
+
+    def note_leader_contact(self, quorum_age_s: float) -> None:
+        """Note word from a leader whose own contact with a quorum is that old.
+
+        Right after a standstill the messages that waited meanwhile come in, and
+        their age is unknown, so for a while they prove no quorum.
+        """
+        self.leader_contact_at = self.now
+        if self.now - self.woke_at < self.settings.election_min_s:
+            return
+        contact_at = self.now - max(0.0, quorum_age_s)
+        self.quorum_contact_at = max(self.quorum_contact_at, contact_at)
+
     def reset_election_deadline(self) -> None:
         """Wait anew, a random time, before asking for an election."""
         low = self.settings.election_min_s
--- a/packages/decisions/src/spindle_decisions/consensus/raft_node.py
+++ b/packages/decisions/src/spindle_decisions/consensus/raft_node.py
@@ -122,7 +122,7 @@
     def advance(self, now: float) -> Leadership | None:
         """Move the clock and return the leadership if it is still backed by a quorum."""
         state = self.state
-        state.now = max(state.now, now)
+        state.move_clock(now)
         lead = state.leadership
         if lead is None:
             return None
--- a/packages/decisions/src/spindle_decisions/consensus/repair.py
+++ b/packages/decisions/src/spindle_decisions/consensus/repair.py
@@ -98,8 +98,9 @@
         for member in self.state.membership.members:
             if member.voter or not self.changes.holds_everything(lead, member):
                 continue
-            self.promote(lead, member)
-            return
+            if self.changes.is_live(lead, member):
+                self.promote(lead, member)
+                return
 
     def promote(self, lead: Leadership, member: Member) -> None:
         """Propose the promotion of a learner."""
--- a/tests/decisions/consensus/test_membership.py
+++ b/tests/decisions/consensus/test_membership.py
@@ -59,10 +59,14 @@
         cluster.run(8)
         node = cluster[leader].node
         self.assertEqual(node.membership.find(name), Member(name, f"{name}-2", False))
-        with self.assertRaises(MembershipChangeError):
-            node.propose_membership(
-                cluster.now, MembershipChange(MembershipChangeKind.PROMOTE, name)
-            )
+        promotion = MembershipChange(MembershipChangeKind.PROMOTE, name)
+        with self.assertRaisesRegex(MembershipChangeError, "whole log"):
+            node.propose_membership(cluster.now, promotion)
+        progress = node.progress[name]
+        progress.match_index, before = node.last_index, progress.match_index
+        with self.assertRaisesRegex(MembershipChangeError, "not heard"):
+            node.propose_membership(cluster.now, promotion)
+        progress.match_index = before
         cluster.heal()
         cluster.run(3)
         self.assertTrue(repaired(cluster, name, f"{name}-2"))
--- a/tests/decisions/consensus/test_replication.py
+++ b/tests/decisions/consensus/test_replication.py
@@ -53,6 +53,19 @@
         cluster[leader].sync(cluster.now)
         self.assertEqual(node.commit_index, place.index)
 
+    def test_acknowledgement_leaves_after_the_sync(self) -> None:
+        cluster = create_cluster(3)
+        leader = cluster.elect()
+        follower = next(name for name in cluster.names if name != leader)
+        cluster.auto_sync = False
+        cluster[leader].node.propose(cluster.now, b"x")
+        for message in cluster[leader].node.poll().messages:
+            cluster.deliver(message)
+        sent = [m for m in cluster.network if m.sender == follower]
+        self.assertEqual(sent, [])
+        cluster[follower].sync(cluster.now)
+        self.assertEqual(len(cluster[follower].node.poll().messages), 1)
+
     def test_acknowledgement_of_a_lost_folder_is_not_counted(self) -> None:
         cluster = create_cluster(3)
         leader = cluster.elect()
@@ -129,6 +142,20 @@
         with self.assertRaises(NotLeaderError):
             node.request_read(cluster.now + 60)
 
+    def test_messages_that_waited_through_a_freeze_prove_no_quorum(self) -> None:
+        cluster = create_cluster(3)
+        leader = cluster.elect()
+        follower = next(name for name in cluster.names if name != leader)
+        cluster[leader].node.tick(cluster.now + 0.2)
+        waited = [m for m in cluster[leader].node.poll().messages if m.recipient == follower]
+        cluster.down.add(follower)
+        cluster.run(60)
+        cluster.down.discard(follower)
+        cluster.deliver(waited[0])
+        self.assertTrue(cluster[follower].node.is_stale(cluster.now))
+        cluster.run(1)
+        self.assertFalse(cluster[follower].node.is_stale(cluster.now))
+
 
 class TestOutbox(unittest.TestCase):
     def test_entry_cut_off_during_its_sync_is_not_persisted(self) -> None:
