--- a/tests/daemon/storage/test_blob_store.py
+++ b/tests/daemon/storage/test_blob_store.py
@@ -2,8 +2,10 @@
 
 import pathlib
 import tempfile
+import time
 import unittest
 
+import gevent
 from nose2.tools import params
 
 from spindle_daemon.storage.blob import Blob
@@ -11,7 +13,7 @@
 from spindle_daemon.storage.blob_limits import BlobLimits
 from spindle_daemon.storage.blob_store import open_blob_store
 from spindle_daemon.storage.os_file_access import create_file_access
-from spindle_daemon.storage.summary_files import create_summary_files
+from spindle_daemon.storage.summary_files import SummaryFiles, create_summary_files
 from spindle_decisions.exceptions import StorageError, SyncFailedError
 from tests.daemon.storage.common import fail_sync
 
@@ -35,6 +37,18 @@
             files.forget("2024-10-03")
             self.assertEqual(files.load(MINUTE - 1, MINUTE), (b"0",))
 
+    def test_slow_sync_does_not_stop_the_loop(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            slow = create_file_access(lambda _fd: time.sleep(0.5))
+            files = SummaryFiles(open_blob_store(pathlib.Path(folder), slow))
+            writer = gevent.spawn(files.put, "e1", 1, MINUTE, b"x")
+            turns = 0
+            while not writer.ready():
+                gevent.sleep(0.01)
+                turns += 1
+            self.assertGreater(turns, 5)
+            self.assertEqual(files.load(MINUTE, MINUTE), (b"x",))
+
 
 class TestBlobStore(unittest.TestCase):
     def setUp(self) -> None:
