Tell what a note would be answered, without applying it

A check against the catalog alone passes a note whose number is taken or whose id was used. The check now goes the way of an application up to the point where the state would change.

--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/state/examined_note.py
@@ -0,0 +1,13 @@
+"""A note that was checked against the state."""
+
+import msgspec
+
+from spindle_decisions.catalog.catalog import Catalog
+from spindle_decisions.notes.note import Note
+
+
+class ExaminedNote(msgspec.Struct, frozen=True):
+    """A note that may be applied, and the catalog that it leads to."""
+
+    note: Note
+    catalog: Catalog
--- a/packages/decisions/src/spindle_decisions/state/replicated_state.py
+++ b/packages/decisions/src/spindle_decisions/state/replicated_state.py
@@ -20,6 +20,7 @@
     CODE_NUMBER_TAKEN,
     SNAPSHOT_FORMAT,
 )
+from spindle_decisions.state.examined_note import ExaminedNote
 from spindle_decisions.state.note_ledger import NoteLedger
 from spindle_decisions.state.note_record import NoteRecord
 from spindle_decisions.state.note_texts import NoteTexts
@@ -104,9 +105,26 @@
         """Return the digest of the whole state, 32 hexadecimal digits."""
         return xxhash.xxh3_128_hexdigest(self.encode_snapshot())
 
+    def check_note(self, text: str) -> NoteApplied | NoteRefused:
+        """Return what the note would be answered if it were applied now; change nothing."""
+        examined = self._examine(text)
+        if isinstance(examined, ExaminedNote):
+            return _applied(self._record_of(examined, self.applied_index, 0))
+        return examined
+
     def _apply_note(self, entry_index: int, command: ApplyNote) -> NoteApplied | NoteRefused:
+        examined = self._examine(command.text)
+        if not isinstance(examined, ExaminedNote):
+            return examined
+        record = self._record_of(examined, entry_index, command.proposed_at_ms)
+        self.catalog = examined.catalog
+        self._ledger.append(record)
+        self._texts.append(examined.catalog.version, command.text)
+        return _applied(record)
+
+    def _examine(self, text: str) -> ExaminedNote | NoteApplied | NoteRefused:
         try:
-            note = parse_note(command.text)
+            note = parse_note(text)
         except NoteError as err:
             return NoteRefused(err.code, str(err))
         earlier = self._ledger.get(note.number)
@@ -116,10 +134,9 @@
         if refusal is not None:
             return refusal
         try:
-            catalog = apply_note(self.catalog, note)
+            return ExaminedNote(note, apply_note(self.catalog, note))
         except NoteError as err:
             return NoteRefused(err.code, str(err))
-        return self._accept(entry_index, command, note, catalog)
 
     def _check_identity(self, note: Note, earlier: NoteRecord | None) -> NoteRefused | None:
         same_id = self._ledger.find_id(note.note_id)
@@ -139,14 +156,15 @@
             )
         return None
 
-    def _accept(
-        self, entry_index: int, command: ApplyNote, note: Note, catalog: Catalog
-    ) -> NoteApplied:
+    def _record_of(
+        self, examined: ExaminedNote, entry_index: int, proposed_at_ms: int
+    ) -> NoteRecord:
         newest = self._ledger.get(self._ledger.last_number)
-        applied_at_ms = command.proposed_at_ms
+        applied_at_ms = proposed_at_ms
         if newest is not None:
             applied_at_ms = max(applied_at_ms, newest.applied_at_ms)
-        record = NoteRecord(
+        note, catalog = examined.note, examined.catalog
+        return NoteRecord(
             number=note.number,
             note_id=note.note_id,
             author=note.author,
@@ -156,10 +174,6 @@
             applied_at_ms=applied_at_ms,
             entry_index=entry_index,
         )
-        self.catalog = catalog
-        self._ledger.append(record)
-        self._texts.append(catalog.version, command.text)
-        return _applied(record)
 
 
 def create_replicated_state(limits: ClaimLimits | None = None) -> ReplicatedState:
--- a/tests/decisions/state/test_replicated_state.py
+++ b/tests/decisions/state/test_replicated_state.py
@@ -31,9 +31,21 @@
     def test_refusals(self, command: object, code: str) -> None:
         state = _state_with_notes(3)
         before = state.catalog
-        self.assertEqual(state.apply(4, command).code, code)
+        checked = state.check_note(command.text)
+        self.assertEqual(state.apply(4, command), checked)
+        self.assertEqual(checked.code, code)
         self.assertEqual(state.catalog, before)
 
+    def test_check_tells_the_result_and_changes_nothing(self) -> None:
+        state = _state_with_notes(2)
+        digest = state.digest()
+        for command in (apply_command(3), apply_command(1)):
+            checked = state.check_note(command.text)
+            self.assertEqual(state.digest(), digest)
+            restored = create_replicated_state()
+            restored.restore(state.encode_snapshot())
+            self.assertEqual(restored.apply(3, command), checked)
+
     def test_loser_of_a_race_learns_the_digest_of_the_winner(self) -> None:
         state = create_replicated_state()
         winner = state.apply(1, apply_command(1, 1))
