Name the same error of a note on every replica

With several wrong keys in one section the library lists the errors in the order of a set, which differs from process to process, so replicas refused one note with different texts. The first error by key is named now.

Found by a test that failed in two of three runs: it held a note without id and author and expected the id to be named.

--- a/packages/decisions/src/spindle_decisions/notes/parser.py
+++ b/packages/decisions/src/spindle_decisions/notes/parser.py
@@ -151,14 +151,19 @@
     try:
         values: dict[str, Any] = schema(written)
     except vol.MultipleInvalid as err:
-        first = err.errors[0]
-        key = str(first.path[0])
+        first = min(err.errors, key=_key_of)
+        key = _key_of(first)
         raise create_value_error(
             lines.line_of(section, key), section, key, written.get(key), _allowed(first, schema)
         ) from err
     return values
 
 
+def _key_of(error: vol.Invalid) -> str:
+    """Return the key of an error; the library collects errors in no fixed order."""
+    return str(error.path[0])
+
+
 def _allowed(error: vol.Invalid, schema: vol.Schema) -> str:
     if error.msg != "extra keys not allowed" and not isinstance(error, vol.RequiredFieldInvalid):
         return str(error.msg)
