Name a control instance that is down once on the page

Found by running control and entry processes by hand: one stopped control instance stood on the page three times.

--- a/packages/cli/src/spindle_cli/output.py
+++ b/packages/cli/src/spindle_cli/output.py
@@ -21,9 +21,7 @@
         return
     typer.echo(f"spindlectl: {code}: {text}", err=True)
     if winner_digest:
-        typer.echo(
-            f"spindlectl: the number is held by the note with digest {winner_digest}", err=True
-        )
+        typer.echo(f"spindlectl: the note that came first has digest {winner_digest}", err=True)
 
 
 def time_text(wall_ms: int) -> str:
--- a/packages/cli/src/spindle_cli/processes.py
+++ b/packages/cli/src/spindle_cli/processes.py
@@ -4,6 +4,7 @@
 
 from spindle_cli import const
 from spindle_cli.address import Address
+from spindle_cli.answer import Answer
 from spindle_cli.models.instance_row import InstanceRow
 from spindle_cli.operator_api import OperatorApi
 
@@ -14,7 +15,12 @@
 
     instances: tuple[InstanceRow, ...]
     controls: tuple[Address, ...]
-    problems: tuple[str, ...]
+    failed: tuple[Answer[tuple[InstanceRow, ...]], ...] = ()
+
+    @property
+    def problems(self) -> tuple[str, ...]:
+        """Name in sentences the control instances that could not be asked."""
+        return tuple(f"{item.address} could not be asked: {item.error}" for item in self.failed)
 
     def addresses(self) -> tuple[Address, ...]:
         """Return the admin address of every process once, control instances first."""
@@ -49,9 +55,5 @@
     return Processes(
         instances=found,
         controls=tuple(dict.fromkeys((*api.controls, *controls))),
-        problems=tuple(
-            f"{answer.address} could not be asked: {answer.error}"
-            for answer in answers
-            if answer.error is not None
-        ),
+        failed=tuple(answer for answer in answers if answer.error is not None),
     )
--- a/packages/cli/src/spindle_cli/summary_source.py
+++ b/packages/cli/src/spindle_cli/summary_source.py
@@ -28,7 +28,7 @@
         self.api = api
         self.processes = processes
         self.summaries = SummarySet()
-        self.problems: list[str] = list(processes.problems)
+        self.problems: list[str] = []
 
     def fetch(self, window: PageWindow) -> None:
         """Fill `summaries` and `problems`."""
@@ -46,18 +46,34 @@
         for address, error in failed.items():
             name = self.processes.name_of(address)
             self.problems.append(f"summaries of {name} are missing: {error}")
-        self._name_unasked(answered)
+        self._name_unlisted(failed)
+        self._name_unasked(answered, failed)
 
-    def _name_unasked(self, answered: set[str]) -> None:
+    def _name_unlisted(self, failed: dict[Address, str]) -> None:
+        for answer in self.processes.failed:
+            if answer.address not in failed:
+                self.problems.append(f"the instances that {answer.address} knows are missing")
+
+    def _name_unasked(self, answered: set[str], failed: dict[Address, str]) -> None:
+        """Name the members of the agreement that none of the addresses led to."""
         try:
             members = self.api.ask_any("GET", const.PATH_MEMBERS, tuple[MemberRow, ...])
         except SpindleError as err:
             self.problems.append(f"the list of control instances is missing: {err}")
             return
-        failed = {item.instance for item in self.processes.instances if item.role == "control"}
-        for member in members:
-            if member.name not in answered | failed:
-                self.problems.append(f"control instance {member.name} was not asked: no address")
+        named = {
+            item.instance: Address(item.admin_host, item.admin_port)
+            for item in self.processes.instances
+        }
+        nameless = set(failed) - set(named.values())
+        unasked = [
+            member.name
+            for member in members
+            if member.name not in answered and named.get(member.name) not in failed
+        ]
+        if len(unasked) > len(nameless):
+            names = ", ".join(unasked)
+            self.problems.append(f"no address leads to all of these control instances: {names}")
 
 
 def _paths(window: PageWindow) -> list[str]:
--- a/packages/decisions/src/spindle_decisions/account/verdicts.py
+++ b/packages/decisions/src/spindle_decisions/account/verdicts.py
@@ -41,8 +41,8 @@
     if not total:
         return "no request ended"
     return (
-        f"{percent_down(totals.counts['answered'], total)} of {total:,} requests had the whole "
-        f"answer within {target_text(totals.target_min_ms, totals.target_max_ms)} "
+        f"{percent_down(totals.counts['answered'], total)} of {total:,} "
+        f"{_plural('request', total)} had the whole answer within {target_text(totals.target_min_ms, totals.target_max_ms)} "
         f"(wanted: {GOOD_SHARE_PER_CENT}%)"
     )
 
--- a/tests/cli/test_views.py
+++ b/tests/cli/test_views.py
@@ -66,7 +66,15 @@
         for control in (self.first, self.second):
             control.on("GET /v1/summaries", reply(control.name, self.late))
             control.on("GET /v1/members", lambda _body, _query: [member])
-        self.assertIn("control-c was not asked", self.page())
+        self.assertIn("no address leads to all of these control instances: control-c", self.page())
+
+    def test_a_member_that_is_down_is_named_once(self) -> None:
+        member = {"name": "control-b", "folder_id": "f", "voter": True}
+        self.first.on("GET /v1/summaries", reply("control-a", self.late))
+        self.first.on("GET /v1/members", lambda _body, _query: [member])
+        self.second.server.stop()
+        built = json.loads(self.page("--format", "json"))
+        self.assertEqual(len(built["problems"]), 1, built["problems"])
 
     def test_the_html_page_needs_nothing_else(self) -> None:
         for control in (self.first, self.second):
