Let no refused summary hold up the others, and make bootstrap repeatable

An outbox that always began with the oldest minute would have sent one refused summary of 16 KiB for ever and nothing behind it: what was tried least goes first now. A bootstrap that failed half way could not be run again; it goes on where the instances that have begun hold exactly the same members.

--- a/packages/cli/src/spindle_cli/commands/repair.py
+++ b/packages/cli/src/spindle_cli/commands/repair.py
@@ -6,6 +6,7 @@
 import typer
 
 from spindle_cli import const
+from spindle_cli.address import Address
 from spindle_cli.commands.options import session_of
 from spindle_cli.models.founding import Founding
 from spindle_cli.models.founding_member import FoundingMember
@@ -24,20 +25,17 @@
 def bootstrap(ctx: typer.Context) -> None:
     """Begin a new deployment with the control instances given by --control.
 
-    Every one of them must answer and be blank. The command is refused when one
-    already belongs to a deployment; run again after a lost answer, it goes on
-    only if all blank ones are still blank.
+    Every one of them must answer, and be blank or have begun with exactly the
+    same ones; so the command may be run again after a failure half way.
     """
     session = session_of(ctx)
     api = session.api()
-    identities = read_identities(api)
-    used = [item.name for item in identities if not item.blank]
-    if used:
-        raise MembershipChangeError(f"not blank: {', '.join(used)}; nothing was changed")
-    founding = Founding(tuple(FoundingMember(item.name, item.folder_id) for item in identities))
+    answers = read_identities(api)
+    founding = founding_of([identity for _, identity in answers])
     body = msgspec.json.encode(founding)
-    for address in api.required_controls():
-        api.ask(address, "POST", const.PATH_BOOTSTRAP, tuple[MemberRow, ...], body)
+    for address, identity in answers:
+        if identity.blank:
+            api.ask(address, "POST", const.PATH_BOOTSTRAP, tuple[MemberRow, ...], body)
     if session.settings.as_json:
         print_json(founding)
         return
@@ -45,17 +43,28 @@
     typer.echo(f"deployment begun with {names}")
 
 
-def read_identities(api: OperatorApi) -> list[IdentityReply]:
+def founding_of(identities: list[IdentityReply]) -> Founding:
+    """Return the founding members; raise when one already belongs to another deployment."""
+    members = {(item.name, item.folder_id) for item in identities}
+    for item in identities:
+        held = {(row.name, row.folder_id) for row in item.membership.members}
+        if not item.blank and held != members:
+            raise MembershipChangeError(
+                f"{item.name} belongs to a deployment already; nothing was changed"
+            )
+    return Founding(tuple(FoundingMember(item.name, item.folder_id) for item in identities))
+
+
+def read_identities(api: OperatorApi) -> list[tuple[Address, IdentityReply]]:
     """Ask every given control instance who it is; raise unless all answer, each once."""
     answers = api.ask_all(api.required_controls(), const.PATH_IDENTITY, IdentityReply)
     failed = [str(item.error) for item in answers if item.error is not None]
     if failed:
         raise UnreachableError(f"nothing was changed: {'; '.join(failed)}")
-    identities = [item.value for item in answers if item.value is not None]
-    names = [item.name for item in identities]
-    if len(set(names)) < len(names):
+    found = [(item.address, item.value) for item in answers if item.value is not None]
+    if len({identity.name for _, identity in found}) < len(found):
         raise BadRequestError("two addresses lead to the same control instance")
-    return identities
+    return found
 
 
 def repair(
--- a/packages/cli/src/spindle_cli/commands/timeline.py
+++ b/packages/cli/src/spindle_cli/commands/timeline.py
@@ -9,6 +9,7 @@
 
 from spindle_cli import const
 from spindle_cli.commands.options import session_of
+from spindle_cli.models.story import Story
 from spindle_cli.output import print_json, time_text
 from spindle_cli.processes import find_processes
 from spindle_cli.since import parse_since
@@ -70,7 +71,7 @@
         raise UnreachableError("; ".join(batch.problems))
     story = tell_story(request, batch.events)
     if session.settings.as_json:
-        print_json({"request_id": request, "story": story, "problems": batch.problems})
+        print_json(Story(request, story, batch.problems))
         return
     for sentence in story:
         typer.echo(sentence)
--- a/packages/cli/src/spindle_cli/models/identity_reply.py
+++ b/packages/cli/src/spindle_cli/models/identity_reply.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from spindle_cli.models.membership_view import MembershipView
+
 
 class IdentityReply(msgspec.Struct, frozen=True):
     """The identity of a control instance and its part in the agreement."""
@@ -12,3 +14,4 @@
     role: str = ""
     term: int = 0
     leader: str = ""
+    membership: MembershipView = MembershipView()
--- /dev/null
+++ b/packages/cli/src/spindle_cli/models/story.py
@@ -0,0 +1,11 @@
+"""The story of one request."""
+
+import msgspec
+
+
+class Story(msgspec.Struct, frozen=True):
+    """What happened to a request, in sentences, and what may be missing from it."""
+
+    request_id: str
+    sentences: tuple[str, ...]
+    problems: tuple[str, ...]
--- a/packages/decisions/src/spindle_decisions/account/group_summary.py
+++ b/packages/decisions/src/spindle_decisions/account/group_summary.py
@@ -57,6 +57,11 @@
         """Return the number of refusals of all codes."""
         return sum(item.count for item in self.refused)
 
+    def without_names(self) -> "GroupSummary":
+        """Return the same counts with the missing services summed and not named."""
+        unnamed = self.missing_other + sum(item.count for item in self.missing)
+        return msgspec.structs.replace(self, missing=(), missing_other=unnamed)
+
     def finished(self) -> int:
         """Return the number of requests that ended."""
         whole = self.answered + self.late
--- a/packages/decisions/src/spindle_decisions/account/minute_summary.py
+++ b/packages/decisions/src/spindle_decisions/account/minute_summary.py
@@ -7,7 +7,7 @@
 from spindle_decisions.exceptions import FrameError
 
 MS_PER_MINUTE = 60_000
-MAX_SUMMARY_BYTES = 1024 * 1024
+MAX_SUMMARY_BYTES = 256 * 1024
 
 
 class MinuteSummary(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -42,8 +42,15 @@
 
 
 def encode_summary(summary: MinuteSummary) -> bytes:
-    """Encode a summary for the way to a control instance and for its disk."""
-    return _ENCODER.encode(summary)
+    """Encode a summary for the way to a control instance and for its disk.
+
+    One that would be too large names no missing services, only their number.
+    """
+    data = _ENCODER.encode(summary)
+    if len(data) <= MAX_SUMMARY_BYTES:
+        return data
+    groups = tuple(group.without_names() for group in summary.groups)
+    return _ENCODER.encode(msgspec.structs.replace(summary, groups=groups))
 
 
 def decode_summary(data: bytes) -> MinuteSummary:
--- a/packages/decisions/src/spindle_decisions/account/summary_outbox.py
+++ b/packages/decisions/src/spindle_decisions/account/summary_outbox.py
@@ -17,7 +17,8 @@
     the first confirmation of the run they go to all control instances: a run of
     which no control instance ever heard could not even be missed. At most
     `WINDOW_BYTES` are unconfirmed on the way at a time, but always one summary,
-    so that a backlog after a cut does not flood the network. Memory is bounded:
+    so that a backlog after a cut does not flood the network. What was tried least
+    goes first: a summary that is refused everywhere holds up no other. Memory is bounded:
     beyond the bounds the oldest minute is given up, counted, and will stand on
     the page as a gap.
     """
@@ -41,19 +42,18 @@
             self.given_up += 1
 
     def due(self, now: float) -> list[OutboxSend]:
-        """Return what to send now, oldest minute first."""
+        """Return what to send now: least tried first, then the oldest minute."""
         if self._has_expired(now):
             self._move_on()
         on_the_way = sum(
             len(item.data) for item in self.minutes.values() if item.sent_at is not None
         )
         sends: list[OutboxSend] = []
-        for item in self.minutes.values():
-            if item.sent_at is not None:
-                continue
+        for item in self._waiting():
             if on_the_way and on_the_way + len(item.data) > WINDOW_BYTES:
                 break
             item.sent_at = now
+            item.tries += 1
             on_the_way += len(item.data)
             sends.extend(OutboxSend(address, item.minute, item.data) for address in self._targets())
         return sends
@@ -65,6 +65,10 @@
         if item is not None and revision >= item.revision:
             self._remove(minute)
 
+    def _waiting(self) -> list[PendingMinute]:
+        waiting = [item for item in self.minutes.values() if item.sent_at is None]
+        return sorted(waiting, key=lambda item: (item.tries, item.minute))
+
     def _targets(self) -> tuple[str, ...]:
         return (self.controls[self.current],) if self.heard else self.controls
 
