Hold no share where shares are off, settle within 4 s

The naive policy does not look at the share, but its connections over the share of one were closed after each answer, and most requests opened a new one.

--- a/packages/daemon/src/spindle_daemon/components/serving/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/__init__.py
@@ -18,9 +18,7 @@
 
 def setup(spindle: Spindle, registry: CollectorRegistry = REGISTRY) -> ServingCoordinator:
     """Set up serving: follow the catalog and the live instances, begin to probe."""
-    instance = spindle.settings.instance
-    shares = ConnectionShares(instance.name, spindle.clock.now())
-    board = UpstreamBoard(_create_policy(spindle), shares, spindle.rng)
+    board = UpstreamBoard(_create_policy(spindle), _create_shares(spindle), spindle.rng)
     coordinator = ServingCoordinator(spindle, board, create_metrics(registry))
     spindle.bus.listen(CatalogTaken, coordinator.take_catalog)
     spindle.bus.listen(LiveChanged, coordinator.take_live)
@@ -29,6 +27,13 @@
     return coordinator
 
 
+def _create_shares(spindle: Spindle) -> ConnectionShares | None:
+    serving = spindle.settings.serving
+    if serving.policy == POLICY_NAIVE or not serving.shares:
+        return None
+    return ConnectionShares(spindle.settings.instance.name, spindle.clock.now())
+
+
 def _create_policy(spindle: Spindle) -> ServingPolicy:
     serving = spindle.settings.serving
     if serving.policy == POLICY_NAIVE:
@@ -38,6 +43,5 @@
         retries=serving.retries,
         limits=serving.limits,
         ejection=serving.ejection,
-        shares=serving.shares,
     )
     return TierPolicy(spindle.settings.instance.data_center, switches)
--- a/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
@@ -98,6 +98,8 @@
 
     def take_live(self, event: LiveChanged) -> None:
         """Share connections with the entry instances that live."""
+        if self.board.shares is None:
+            return
         live = {
             item.instance: (item.incarnation, item.leaving)
             for item in event.live
--- a/packages/decisions/src/spindle_decisions/serving/connection_shares.py
+++ b/packages/decisions/src/spindle_decisions/serving/connection_shares.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 JOIN_RESERVE = 3
-SETTLE_S = 8.0
+SETTLE_S = 4.0
 GROW_AFTER_LEAVE_S = 3.0
 GROW_AFTER_LOSS_S = 30.0
 
--- a/packages/decisions/src/spindle_decisions/serving/tier_policy.py
+++ b/packages/decisions/src/spindle_decisions/serving/tier_policy.py
@@ -34,7 +34,6 @@
     retries: bool = True
     limits: bool = True
     ejection: bool = True
-    shares: bool = True
 
 
 class TierPolicy:
@@ -79,7 +78,7 @@
 
     def admits(self, state: UpstreamState) -> bool:
         """Admit up to the adaptive limit and the share of connections."""
-        if self.switches.shares and state.inflight + state.probing >= state.share:
+        if state.inflight + state.probing >= state.share:
             return False
         return not self.switches.limits or state.inflight < int(state.limit.value)
 
@@ -107,7 +106,7 @@
 
     def admits_hedge(self, state: UpstreamState) -> bool:
         """Admit up to the slots of the replica, also where the adaptive limit is lower."""
-        if self.switches.shares and state.inflight + state.probing >= state.share:
+        if state.inflight + state.probing >= state.share:
             return False
         return state.inflight < state.upstream.slots or self.admits(state)
 
--- a/packages/decisions/src/spindle_decisions/serving/upstream_board.py
+++ b/packages/decisions/src/spindle_decisions/serving/upstream_board.py
@@ -6,6 +6,7 @@
 
 from spindle_decisions.catalog.catalog import EMPTY_CATALOG
 from spindle_decisions.catalog.index import CatalogIndex
+from spindle_decisions.catalog.upstream import Upstream
 from spindle_decisions.serving.connection_shares import ConnectionShares
 from spindle_decisions.serving.failure_kind import NOT_RUN_KINDS, FailureKind
 from spindle_decisions.serving.serving_policy import ServingPolicy
@@ -25,10 +26,13 @@
 
     Queries take slots with `pick` and give them back with `answered`, `failed`
     or `abandoned`. A slot that is given back goes to the longest waiting query
-    of the service. The queue of a service is bounded.
+    of the service. The queue of a service is bounded. Without `shares` this
+    instance uses all the connections that an upstream accepts.
     """
 
-    def __init__(self, policy: ServingPolicy, shares: ConnectionShares, rng: random.Random) -> None:
+    def __init__(
+        self, policy: ServingPolicy, shares: ConnectionShares | None, rng: random.Random
+    ) -> None:
         self.policy = policy
         self.shares = shares
         self.rng = rng
@@ -47,7 +51,7 @@
             if state is None or _moved(state, upstream.host, upstream.port):
                 state = UpstreamState(upstream, now)
             state.upstream = upstream
-            state.share = self.shares.share_of(upstream.connections, now)
+            state.share = self._share(upstream, now)
             states[upstream.name] = state
         self.states = states
         self.by_service = {
@@ -61,7 +65,7 @@
         """Work out all connection shares again; return the states whose share changed."""
         changed = []
         for state in self.states.values():
-            share = self.shares.share_of(state.upstream.connections, now)
+            share = self._share(state.upstream, now)
             if share != state.share:
                 state.share = share
                 changed.append(state)
@@ -227,6 +231,11 @@
             queue.popleft()
             waiter.granted(service, state, now)
 
+    def _share(self, upstream: Upstream, now: float) -> int:
+        if self.shares is None:
+            return upstream.connections
+        return self.shares.share_of(upstream.connections, now)
+
     def _give_back(self, state: UpstreamState, now: float) -> None:
         state.inflight -= 1
         self.grant_waiting(state.upstream.service, now)
