--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/membership/const.py
@@ -0,0 +1,6 @@
+"""Timing of the membership."""
+
+SUSPECT_AFTER_S = 3.0
+FORGET_AFTER_S = 30.0
+FRESH_AGE_MS = 1_500
+FULL_STATUS_EVERY = 30
