--- a/packages/daemon/src/spindle_daemon/components/control/operator_api.py
+++ b/packages/daemon/src/spindle_daemon/components/control/operator_api.py
@@ -18,7 +18,6 @@
 from spindle_decisions.consensus.member import Member
 from spindle_decisions.consensus.membership_set import MembershipSet
 from spindle_decisions.exceptions import BadRequestError, NoteError
-from spindle_decisions.notes.applier import apply_note
 from spindle_decisions.notes.parser import parse_note
 
 _LOGGER = logging.getLogger(__name__)
@@ -28,14 +27,6 @@
 STATUS_UNPROCESSABLE = 422
 
 
-class CheckedNote(msgspec.Struct, frozen=True):
-    """The answer to a check: what the note would lead to."""
-
-    number: int
-    digest: str
-    version: int
-
-
 class IdentityView(msgspec.Struct, frozen=True):
     """Who a control instance is in the agreement."""
 
@@ -92,19 +83,12 @@
         text = _text(request.body)
         parse_note(text)
         reply = self.spindle.control.propose(ApplyNote(text, 0), NOTE_TIMEOUT_S)
-        if isinstance(reply.result, NoteApplied):
-            return json_ok(reply.result)
-        if isinstance(reply.result, NoteRefused):
-            taken = reply.result.code == CODE_NUMBER_TAKEN
-            status = STATUS_CONFLICT if taken else STATUS_UNPROCESSABLE
-            return JsonResponse(status, msgspec.json.encode(reply.result))
-        raise NoteError(f"unexpected result {type(reply.result).__name__}")
+        assert isinstance(reply.result, NoteApplied | NoteRefused)
+        return _note_response(reply.result)
 
     def check(self, request: AdminRequest) -> JsonResponse:
         """Check a release note against the state that is applied here; change nothing."""
-        note = parse_note(_text(request.body))
-        catalog = apply_note(self.driver.state.catalog, note)
-        return json_ok(CheckedNote(note.number, note.digest, catalog.version))
+        return _note_response(self.driver.state.check_note(_text(request.body)))
 
     def notes(self, _request: AdminRequest) -> JsonResponse:
         """List the applied notes."""
@@ -163,6 +147,13 @@
         return json_ok(members)
 
 
+def _note_response(result: NoteApplied | NoteRefused) -> JsonResponse:
+    if isinstance(result, NoteApplied):
+        return json_ok(result)
+    status = STATUS_CONFLICT if result.code == CODE_NUMBER_TAKEN else STATUS_UNPROCESSABLE
+    return JsonResponse(status, msgspec.json.encode(result))
+
+
 def _text(body: bytes) -> str:
     try:
         return body.decode("utf-8")
--- a/packages/daemon/src/spindle_daemon/daemon.py
+++ b/packages/daemon/src/spindle_daemon/daemon.py
@@ -11,13 +11,12 @@
 from spindle_daemon.components import admin, control, control_link, process_metrics, timeline
 from spindle_daemon.components import entry_http as entry_http_component
 from spindle_daemon.components import serving as serving_component
-from spindle_daemon.components.account.folder_sink import FolderSink
 from spindle_daemon.core.clock import SystemClock
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.mesh.transport import Transport
 from spindle_daemon.settings.const import ROLE_CONTROL
 from spindle_daemon.settings.settings import Settings
-from spindle_daemon.storage.blob_store import open_blob_store
+from spindle_daemon.storage.summary_files import SummaryFiles, create_summary_files
 from spindle_decisions.exceptions import FrameError, SettingsError
 from spindle_decisions.timeline.event_kind import EventKind
 from spindle_decisions.timeline.hybrid_clock import HybridClock
@@ -81,9 +80,9 @@
     entry_http_component.setup(spindle, coordinator)
 
 
-def _summary_sink(settings: Settings) -> FolderSink:
+def _summary_sink(settings: Settings) -> SummaryFiles:
     assert settings.instance.data_dir is not None
-    return FolderSink(open_blob_store(settings.instance.data_dir / SUMMARY_FOLDER))
+    return create_summary_files(settings.instance.data_dir / SUMMARY_FOLDER)
 
 
 def _wait_for_signal() -> None:
--- a/packages/daemon/src/spindle_daemon/storage/summary_files.py
+++ b/packages/daemon/src/spindle_daemon/storage/summary_files.py
@@ -5,9 +5,11 @@
 
 from gevent.threadpool import ThreadPool
 
+from spindle_daemon.helpers.fatal import stop_process
 from spindle_daemon.storage.blob_key import BlobKey
 from spindle_daemon.storage.blob_store import BlobStore, open_blob_store
 from spindle_daemon.storage.const import MINUTES_PER_DAY
+from spindle_decisions.exceptions import SyncFailedError
 
 _EPOCH = datetime.date(1970, 1, 1)
 
@@ -25,9 +27,12 @@
     def put(self, instance: str, incarnation: int, minute: int, data: bytes) -> None:
         """Write a summary; return once it is synced to disk.
 
-        Raises `StorageError` when it is refused or not safely on disk.
+        Raises `StorageError` when it is refused. A failed sync ends the process.
         """
-        self.pool.apply(self.store.put, (BlobKey(instance, incarnation, minute), data))
+        try:
+            self.pool.apply(self.store.put, (BlobKey(instance, incarnation, minute), data))
+        except SyncFailedError as err:
+            stop_process(err)
 
     def load(self, first_minute: int, last_minute: int) -> tuple[bytes, ...]:
         """Return the summaries of the minutes from first to last, both included."""
--- a/packages/decisions/src/spindle_decisions/consensus/progress.py
+++ b/packages/decisions/src/spindle_decisions/consensus/progress.py
@@ -12,7 +12,8 @@
 
     `match_index` is on the disk of the member, `next_index` is sent next.
     `contact_at` is when the leader started the newest round that the member
-    answered; the answer itself may have come much later.
+    answered; the answer itself may have come much later. `told_commit` is the
+    commit index in the newest message to the member.
     """
 
     folder_id: str
@@ -23,3 +24,4 @@
     contact_at: float = -math.inf
     acked_round: int = -1
     snapshot_sent_at: float = -math.inf
+    told_commit: int = 0
--- a/packages/decisions/src/spindle_decisions/consensus/replication.py
+++ b/packages/decisions/src/spindle_decisions/consensus/replication.py
@@ -46,9 +46,10 @@
         lead.progress = kept
 
     def tick(self, lead: Leadership) -> None:
-        """Send heartbeats when they are due."""
+        """Send heartbeats when they are due, and commits that nothing else carried."""
         if self.state.now >= lead.next_heartbeat_at:
             self.heartbeat(lead)
+        self.tell_commit(lead)
 
     def heartbeat(self, lead: Leadership) -> None:
         """Start a contact round with every member."""
@@ -100,6 +101,22 @@
             while self.send_more(lead, name, progress):
                 pass
 
+    def tell_commit(self, lead: Leadership) -> None:
+        """Tell members of a commit that no entry carried to them since the last tick.
+
+        Without this a member would apply what is agreed only after a heartbeat;
+        telling it with every commit would cost a message for each batch.
+        """
+        for name, progress in lead.progress.items():
+            if self.lacks_commit(progress):
+                self.send_append(lead, name, progress, with_entries=False)
+
+    def lacks_commit(self, progress: Progress) -> bool:
+        """Return whether a member holds entries that it does not know to be committed."""
+        if progress.mode is not ProgressMode.STREAM:
+            return False
+        return progress.told_commit < min(self.state.commit_index, progress.match_index)
+
     def send_more(self, lead: Leadership, name: str, progress: Progress) -> bool:
         """Send one message of entries, or a snapshot; return whether any was sent."""
         state = self.state
@@ -144,6 +161,7 @@
             self.quorum_age(lead, state.now),
             entries,
         )
+        progress.told_commit = state.commit_index
         state.outbox.send(message)
 
     def send_snapshot(self, lead: Leadership, name: str, progress: Progress) -> bool:
