Explain and force the control membership over the operator endpoint

Proof: refused with 409 at every control instance while a majority answers; after two of three data folders were lost the remaining one goes on with every note, and the reason is on its time line.

--- a/packages/daemon/src/spindle_daemon/components/control/operator_api.py
+++ b/packages/daemon/src/spindle_daemon/components/control/operator_api.py
@@ -9,6 +9,7 @@
 from spindle_daemon.components.control.const import NOTE_TIMEOUT_S
 from spindle_daemon.components.control.instance_registry import InstanceRegistry
 from spindle_daemon.components.control.raft_driver import RaftDriver
+from spindle_daemon.components.control.repair_desk import RepairDesk, RepairOrder
 from spindle_daemon.components.control.status_view import build_status
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.json_response import JsonResponse, json_ok
@@ -64,6 +65,7 @@
         self.driver = driver
         self.registry = registry
         self.folder_id = folder_id
+        self.desk = RepairDesk(driver, spindle.clock)
 
     def register(self, app: AdminApp) -> None:
         """Add the routes."""
@@ -77,6 +79,7 @@
         app.route("GET", "/v1/reports", self.reports)
         app.route("GET", "/v1/identity", self.identity)
         app.route("POST", "/v1/bootstrap", self.bootstrap)
+        app.route("POST", "/v1/repair", self.repair)
 
     def apply(self, request: AdminRequest) -> JsonResponse:
         """Have a release note agreed; the same note again gets the same answer."""
@@ -146,6 +149,14 @@
         self.driver.pump()
         return json_ok(members)
 
+    def repair(self, request: AdminRequest) -> JsonResponse:
+        """Explain the agreement, or force a membership after a majority was lost."""
+        try:
+            order = msgspec.json.decode(request.body, type=RepairOrder)
+        except msgspec.MsgspecError as err:
+            raise BadRequestError(f"repair request is malformed: {err}") from err
+        return json_ok(self.desk.handle(order))
+
 
 def _note_response(result: NoteApplied | NoteRefused) -> JsonResponse:
     if isinstance(result, NoteApplied):
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/control/repair_desk.py
@@ -0,0 +1,108 @@
+"""Explaining the agreement to operators, and the forced membership after a lost majority."""
+
+import math
+
+import msgspec
+
+from spindle_daemon.components.control.raft_driver import RaftDriver
+from spindle_daemon.core.clock import Clock
+from spindle_decisions.consensus.member import Member
+from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.consensus.role import Role
+from spindle_decisions.exceptions import BadRequestError
+
+ACTION_EXPLAIN = "explain"
+ACTION_FORCE = "force-membership"
+
+
+class RepairOrder(msgspec.Struct, frozen=True):
+    """What an operator asks for; `members` names those that remain."""
+
+    action: str
+    members: tuple[str, ...] = ()
+    reason: str = ""
+
+
+class RepairAnswer(msgspec.Struct, frozen=True):
+    """What was found, and what was done or is to be done, in sentences."""
+
+    steps: tuple[str, ...]
+    text: str
+
+
+class RepairDesk:
+    """Answers repair requests at one control instance."""
+
+    def __init__(self, driver: RaftDriver, clock: Clock) -> None:
+        self.driver = driver
+        self.clock = clock
+
+    def handle(self, order: RepairOrder) -> RepairAnswer:
+        """Explain or force; raises `MembershipChangeError` when forcing would lose data."""
+        if order.action == ACTION_EXPLAIN:
+            return RepairAnswer(self.explain(), self.advice())
+        if order.action == ACTION_FORCE:
+            return self.force(order)
+        raise BadRequestError(
+            f"action is {order.action!r}: allowed: {ACTION_EXPLAIN}, {ACTION_FORCE}"
+        )
+
+    def explain(self) -> tuple[str, ...]:
+        """Return one sentence about this instance and one for each member."""
+        node = self.driver.node
+        leader = node.leader or "nobody"
+        head = (
+            f"this instance is {node.role.name.lower()} in term {node.term}, {leader} leads, "
+            f"a quorum was heard {self._quorum_age()} ago"
+        )
+        return (head, *(self._about(member) for member in node.membership.members))
+
+    def advice(self) -> str:
+        """Return what an operator should do next."""
+        node = self.driver.node
+        if node.role is Role.BLANK:
+            return (
+                "this instance holds nothing: run bootstrap for a new deployment, or wait until "
+                "the leader takes it in as a learner and promotes it"
+            )
+        if not node.is_stale(self.clock.now()):
+            return "a majority is there; lost instances come back by themselves"
+        return (
+            "no majority is heard: bring lost instances back with their data folders; only when "
+            "that is impossible, force the membership of those that remain"
+        )
+
+    def force(self, order: RepairOrder) -> RepairAnswer:
+        """Impose the named members of the present membership as the only voters."""
+        node = self.driver.node
+        if not order.reason:
+            raise BadRequestError("a forced membership needs a reason")
+        kept = tuple(self._kept(name) for name in sorted(set(order.members)))
+        lost = [item.name for item in node.membership.members if item.name not in order.members]
+        node.force_membership(self.clock.now(), MembershipSet(kept), order.reason)
+        self.driver.pump()
+        return RepairAnswer(
+            (
+                f"voters are now {', '.join(item.name for item in kept)}",
+                f"no longer members: {', '.join(lost) or 'nobody'}",
+            ),
+            "what only the removed members held is lost; the reason is on the time line",
+        )
+
+    def _kept(self, name: str) -> Member:
+        member = self.driver.node.membership.find(name)
+        if member is None:
+            raise BadRequestError(f"{name} is no member here")
+        return Member(member.name, member.folder_id, voter=True)
+
+    def _about(self, member: Member) -> str:
+        kind = "voter" if member.voter else "learner, promoted once it holds everything"
+        progress = self.driver.node.progress.get(member.name)
+        if progress is None:
+            return f"{member.name}: {kind}"
+        last = self.driver.node.last_index
+        return f"{member.name}: {kind}, holds {progress.match_index} of {last} entries"
+
+    def _quorum_age(self) -> str:
+        age_s = self.driver.node.quorum_age(self.clock.now())
+        return "never" if math.isinf(age_s) else f"{age_s:.1f} s"
--- a/tests/integration/test_recovery.py
+++ b/tests/integration/test_recovery.py
@@ -1,5 +1,6 @@
 """Lost disks, second losses and restarts after many notes."""
 
+import msgspec
 from bench import files
 from bench.deployment import Deployment
 from bench.plan import GroupPlan
@@ -63,6 +64,39 @@
             identity = self.deployment.operator(name).get("/v1/identity").body
             self.assertTrue(identity["blank"])
 
+    def test_forced_membership_is_refused_while_a_majority_may_be_there(self) -> None:
+        leader = self.deployment.leader()
+        order = msgspec.json.encode(
+            {"action": "force-membership", "members": [leader], "reason": "drill"}
+        )
+        for control in self.deployment.plan.controls:
+            answer = self.deployment.operator(control.name).post("/v1/repair", order)
+            self.assertEqual(answer.status, 409, answer)
+
+    def test_forced_membership_goes_on_with_what_remains(self) -> None:
+        self._apply_many(2, 10, self.deployment.leader())
+        kept, *lost = (control.name for control in self.deployment.plan.controls)
+        self.deployment.wait_until(
+            lambda: self._version(kept) == 11 or None, "the remaining one to hold every note"
+        )
+        for name in lost:
+            self.deployment.processes[name].kill()
+            self.deployment.wipe(name)
+        order = msgspec.json.encode(
+            {"action": "force-membership", "members": [kept], "reason": "two disks burnt"}
+        )
+
+        def forced() -> bool | None:
+            answer = self.deployment.operator(kept).post("/v1/repair", order)
+            return True if answer.status == 200 else None
+
+        self.deployment.wait_until(forced, "the majority to count as lost")
+        answer = self.apply_until_accepted(self.deployment, files.small_note(12, 999), kept)
+        self.assertEqual(answer.body["version"], 12)
+        events = self.deployment.operator(kept).get("/v1/timeline").body["events"]
+        reasons = [item["reason"] for item in events if item["kind"] == "members-forced"]
+        self.assertIn("two disks burnt", reasons)
+
     def test_restart_of_everything_after_hundreds_of_notes(self) -> None:
         leader = self.deployment.leader()
         self._apply_many(2, MANY_NOTES - 1, leader)
@@ -84,5 +118,8 @@
             self.assertEqual(shown, first)
         self._apply_many(MANY_NOTES + 1, 1, self.deployment.leader())
 
+    def _version(self, name: str) -> int:
+        return int(self.deployment.operator(name).get("/v1/status").body["version"])
+
     def _holds(self, name: str, digest: str) -> bool:
         return bool(self.deployment.operator(name).get("/v1/status").body["digest"] == digest)
