--- a/tests/decisions/consensus/world.py
+++ b/tests/decisions/consensus/world.py
@@ -10,6 +10,7 @@
 from spindle_decisions.consensus.persist_batch import PersistBatch
 from spindle_decisions.consensus.role import Role
 from spindle_decisions.exceptions import MembershipChangeError, NotLeaderError
+from tests.decisions.consensus.acts import Act
 from tests.decisions.consensus.common import TICK_S, Cluster, Instance
 from tests.decisions.consensus.oracle import Oracle
 
@@ -37,6 +38,9 @@
             self.collect(name)
             self.sync(name)
 
+    def act(self, act: Act) -> None:
+        getattr(self, act.name)(*act.arguments)
+
     # Plumbing
 
     def collect(self, name: str) -> None:
