Work voters and the age of the quorum out once, not for each message

A profile of single entries at 7 members showed the list of voters made anew for each count, and the age of the quorum sorted for each message of one round. Both are kept now, and the commit index is not counted while nothing is open.

--- a/packages/decisions/src/spindle_decisions/consensus/elections.py
+++ b/packages/decisions/src/spindle_decisions/consensus/elections.py
@@ -51,7 +51,7 @@
         state = self.state
         state.candidacy = Role.PRE_CANDIDATE
         self.granted = {state.name}
-        for member in state.membership.voters():
+        for member in state.voters:
             if member.name == state.name:
                 continue
             question = PreVote(
@@ -78,7 +78,7 @@
         state.reset_election_deadline()
         self.granted = set()
         self.campaign_started_at = state.now
-        for member in state.membership.voters():
+        for member in state.voters:
             if member.name == state.name:
                 continue
             request = Vote(
--- a/packages/decisions/src/spindle_decisions/consensus/leadership.py
+++ b/packages/decisions/src/spindle_decisions/consensus/leadership.py
@@ -13,7 +13,8 @@
     """Progress of the members, contact rounds and waiting reads of one term.
 
     `first_index` is the entry with which the term began. Nothing of this term is
-    committed, and no membership change may start, before it is.
+    committed, and no membership change may start, before it is. `quorum_age_s` goes
+    out with the messages and is worked out once for all that are sent together.
     """
 
     first_index: int
@@ -21,6 +22,7 @@
     rounds: collections.deque[ContactRound] = dataclasses.field(default_factory=collections.deque)
     reads: list[PendingRead] = dataclasses.field(default_factory=list)
     next_heartbeat_at: float = 0.0
+    quorum_age_s: float = 0.0
 
     @property
     def latest_round(self) -> int:
--- a/packages/decisions/src/spindle_decisions/consensus/node_state.py
+++ b/packages/decisions/src/spindle_decisions/consensus/node_state.py
@@ -61,6 +61,8 @@
         self.forced: MembershipSet | None = None
         self.forced_reason = ""
         self.forced_until = 0.0
+        self.voters_of: MembershipSet | None = None
+        self.known_voters: tuple[Member, ...] = ()
         self.events: list[RaftEvent] = []
         self.reads_ready: list[ReadReady] = []
         self.restore: Snapshot | None = None
@@ -111,10 +113,19 @@
             return Role.BLANK
         return Role.FOLLOWER if self.is_voter else Role.LEARNER
 
+    @property
+    def voters(self) -> tuple[Member, ...]:
+        """Return the voters in force; they are worked out once for each membership."""
+        membership = self.membership
+        if membership is not self.voters_of:
+            self.voters_of = membership
+            self.known_voters = membership.voters()
+        return self.known_voters
+
     @property
     def quorum(self) -> int:
         """Return how many voters are a majority."""
-        return len(self.membership.voters()) // 2 + 1
+        return len(self.voters) // 2 + 1
 
     def identified(self, name: str, folder_id: str) -> Member | None:
         """Return the member of that name if it has that folder."""
@@ -125,7 +136,7 @@
 
     def counts(self, names: set[str]) -> bool:
         """Return whether the named members hold a majority of the votes."""
-        votes = sum(1 for member in self.membership.voters() if member.name in names)
+        votes = sum(1 for member in self.voters if member.name in names)
         return votes >= self.quorum
 
     def heard_leader_recently(self) -> bool:
--- a/packages/decisions/src/spindle_decisions/consensus/replication.py
+++ b/packages/decisions/src/spindle_decisions/consensus/replication.py
@@ -55,6 +55,7 @@
         state = self.state
         lead.next_heartbeat_at = state.now + state.settings.heartbeat_s
         self.start_round(lead)
+        lead.quorum_age_s = self.quorum_age(lead, state.now)
         for name, progress in lead.progress.items():
             progress.paused = False
             self.contact(lead, name, progress)
@@ -90,12 +91,13 @@
             prev_term=0,
             commit_index=0,
             contact_round=lead.latest_round,
-            quorum_age_s=self.quorum_age(lead, state.now),
+            quorum_age_s=lead.quorum_age_s,
         )
         state.outbox.send(heartbeat)
 
     def flush(self, lead: Leadership) -> None:
         """Send the members the entries that they lack, within the window of each."""
+        lead.quorum_age_s = self.quorum_age(lead, self.state.now)
         for name, progress in lead.progress.items():
             while self.send_more(lead, name, progress):
                 pass
@@ -141,7 +143,7 @@
             prev_term,
             state.commit_index,
             lead.latest_round,
-            self.quorum_age(lead, state.now),
+            lead.quorum_age_s,
             entries,
         )
         state.outbox.send(message)
@@ -161,7 +163,7 @@
             state.term,
             snapshot,
             lead.latest_round,
-            self.quorum_age(lead, state.now),
+            lead.quorum_age_s,
         )
         state.outbox.send(message)
         return True
@@ -233,6 +235,8 @@
     def advance_commit(self, lead: Leadership) -> None:
         """Commit the newest entry of the own term that a majority holds on disk."""
         state = self.state
+        if state.commit_index == state.log.last_index:
+            return
         matches = sorted((self.match_of(lead, name) for name in self.voter_names()), reverse=True)
         index = matches[state.quorum - 1]
         if index > state.commit_index and state.log.term_at(index) == state.term:
@@ -240,7 +244,7 @@
 
     def voter_names(self) -> list[str]:
         """Return the names of the voters in force."""
-        return [member.name for member in self.state.membership.voters()]
+        return [member.name for member in self.state.voters]
 
     def match_of(self, lead: Leadership, name: str) -> int:
         """Return up to where a voter holds the log on disk."""
