--- a/packages/cli/src/spindle_cli/summary_source.py
+++ b/packages/cli/src/spindle_cli/summary_source.py
@@ -14,11 +14,13 @@
 from spindle_decisions.exceptions import SpindleError
 
 MS_PER_HOUR = 3_600_000
-MS_PER_S = 1000
+S_PER_HOUR = 3600
+HOURS_PER_DAY = 24
+HOURS_PER_REQUEST = 6
 
 
 class SummarySource:
-    """Asks every control instance, hour by hour, and names those that did not answer.
+    """Asks every control instance, a few hours at a time, and names those that did not answer.
 
     The hour before the day is fetched too: it tells which runs were under way
     at midnight.
@@ -35,7 +37,7 @@
         answered: set[str] = set()
         failed: dict[Address, str] = {}
         requests = [
-            (address, path) for path in _paths(window) for address in self.processes.controls
+            (address, path) for path in request_paths(window) for address in self.processes.controls
         ]
         for answer in self.api.ask_each(requests, SummariesReply):
             if answer.value is None:
@@ -76,13 +78,19 @@
             self.problems.append(f"no address leads to all of these control instances: {names}")
 
 
-def _paths(window: PageWindow) -> list[str]:
-    first = (window.from_ms - MS_PER_HOUR) // MS_PER_HOUR
-    last = (window.horizon_ms() - 1) // MS_PER_HOUR
-    return [_path(hour * MS_PER_HOUR) for hour in range(first, last + 1)]
+def request_paths(window: PageWindow) -> list[str]:
+    """Return the requests for the day and the hour before, none across midnight UTC."""
+    hour = (window.from_ms - MS_PER_HOUR) // MS_PER_HOUR
+    end = -(-window.horizon_ms() // MS_PER_HOUR)
+    paths: list[str] = []
+    while hour < end:
+        hours = min(HOURS_PER_REQUEST, HOURS_PER_DAY - hour % HOURS_PER_DAY, end - hour)
+        paths.append(_path(hour, hours))
+        hour += hours
+    return paths
 
 
-def _path(wall_ms: int) -> str:
-    moment = datetime.datetime.fromtimestamp(wall_ms / MS_PER_S, datetime.UTC)
-    query = urllib.parse.urlencode({"day": moment.date().isoformat(), "hour": moment.hour})
-    return f"{const.PATH_SUMMARIES}?{query}"
+def _path(hour: int, hours: int) -> str:
+    day = datetime.datetime.fromtimestamp(hour * S_PER_HOUR, datetime.UTC).date()
+    query = {"day": day.isoformat(), "hour": hour % HOURS_PER_DAY, "hours": hours}
+    return f"{const.PATH_SUMMARIES}?{urllib.parse.urlencode(query)}"
--- a/packages/daemon/src/spindle_daemon/components/account/summary_store.py
+++ b/packages/daemon/src/spindle_daemon/components/account/summary_store.py
@@ -73,24 +73,24 @@
         self.spindle.transport.send(report.reply_to, ack)
 
     def reply(self, arguments: Mapping[str, str]) -> SummariesReply:
-        """Answer `GET /v1/summaries` with the arguments `day` and `hour`, both in UTC.
+        """Answer `GET /v1/summaries` with the arguments `day`, `hour` and `hours`, in UTC.
 
-        Without `hour` the answer holds only the list of days. Raises
-        `BadRequestError` for arguments that cannot be read.
+        `hours` is 1 when left out, and the answer ends with the day. Without
+        `hour` it holds only the list of days. Raises `BadRequestError` for
+        arguments that cannot be read.
         """
-        hour = arguments.get("hour")
-        if hour is None:
-            return SummariesReply(self.control, arguments.get("day", ""), -1, (), self.sink.days())
-        if not hour.isdecimal() or int(hour) >= HOURS_PER_DAY:
-            raise BadRequestError(f"hour is {hour!r}, expected 0 to 23")
         day = arguments.get("day", "")
+        if "hour" not in arguments:
+            return SummariesReply(self.control, day, 0, 0, (), self.sink.days())
+        hour = _number(arguments, "hour", 0, HOURS_PER_DAY - 1)
+        hours = min(_number(arguments, "hours", 1, const.MAX_REPLY_HOURS), HOURS_PER_DAY - hour)
         try:
             first = first_minute_of(datetime.date.fromisoformat(day))
         except ValueError:
             raise BadRequestError(f"day is {day!r}, expected YYYY-MM-DD") from None
-        first += int(hour) * MINUTES_PER_HOUR
-        minutes = tuple(self.sink.load(first, first + MINUTES_PER_HOUR - 1))
-        return SummariesReply(self.control, day, int(hour), minutes, self.sink.days())
+        first += hour * MINUTES_PER_HOUR
+        minutes = tuple(self.sink.load(first, first + hours * MINUTES_PER_HOUR - 1))
+        return SummariesReply(self.control, day, hour, hours, minutes, self.sink.days())
 
     def _checked(self, report: SummaryReport) -> MinuteSummary | None:
         try:
@@ -124,3 +124,10 @@
                 _LOGGER.error("account: summary not written: %s", err)
             except Exception:
                 _LOGGER.exception("account: summary not written")
+
+
+def _number(arguments: Mapping[str, str], name: str, least: int, most: int) -> int:
+    text = arguments.get(name, str(least))
+    if not text.isascii() or not text.isdecimal() or not least <= int(text) <= most:
+        raise BadRequestError(f"{name} is {text!r}, expected {least} to {most}")
+    return int(text)
--- a/packages/decisions/src/spindle_decisions/account/summaries_reply.py
+++ b/packages/decisions/src/spindle_decisions/account/summaries_reply.py
@@ -4,7 +4,7 @@
 
 
 class SummariesReply(msgspec.Struct, frozen=True):
-    """Encoded minute summaries of one hour of one day, in UTC.
+    """Encoded minute summaries of some hours of one day, in UTC, from `hour` on.
 
     `days` lists the days, as `YYYY-MM-DD`, of which the control instance holds
     anything at all.
@@ -13,5 +13,6 @@
     control: str
     day: str
     hour: int
+    hours: int
     minutes: tuple[bytes, ...]
     days: tuple[str, ...] = ()
--- a/tests/cli/test_views.py
+++ b/tests/cli/test_views.py
@@ -1,13 +1,16 @@
 """Tests of the commands that join the answers of many processes."""
 
+import datetime
 import json
 import unittest
+import urllib.parse
 import zoneinfo
 
 from nose2.tools import params
 
 from spindle_cli.day_window import day_window
 from spindle_cli.since import parse_since
+from spindle_cli.summary_source import request_paths
 from spindle_decisions.account.minute_counter import MinuteCounter
 from spindle_decisions.account.minute_summary import encode_summary
 from spindle_decisions.account.summaries_reply import SummariesReply
@@ -24,7 +27,7 @@
 
 def reply(control: str, *minutes: bytes) -> object:
     return lambda _body, query: SummariesReply(
-        control, DAY, 0, minutes if query.endswith("hour=0") and DAY in query else ()
+        control, DAY, 0, 6, minutes if "hour=0&" in query and DAY in query else ()
     )
 
 
@@ -87,6 +90,23 @@
             self.assertNotIn(forbidden, text)
 
 
+class TestSummaryRequests(unittest.TestCase):
+    @params("UTC", "Asia/Ho_Chi_Minh", "Asia/Kathmandu", "Europe/Paris")
+    def test_every_hour_is_asked_for_once_and_the_one_before_the_day(self, zone: str) -> None:
+        window = day_window(DAY, zoneinfo.ZoneInfo(zone), DAY_START_MS + 10**9)
+        hours: list[int] = []
+        for path in request_paths(window):
+            query = dict(urllib.parse.parse_qsl(path.partition("?")[2]))
+            first = int(query["hour"])
+            self.assertLessEqual(first + int(query["hours"]), 24)
+            day = datetime.date.fromisoformat(query["day"]).toordinal()
+            hours.extend(day * 24 + first + index for index in range(int(query["hours"])))
+        epoch = datetime.date(1970, 1, 1).toordinal() * 24
+        first_hour, last_ms = window.from_ms // 3_600_000 - 1, window.to_ms - 1
+        expected = range(epoch + first_hour, epoch + last_ms // 3_600_000 + 1)
+        self.assertEqual(hours, list(expected))
+
+
 class TestTimeline(CliTestCase):
     def lines(self, control: FakeControl, *walls: int, dropped: int = 0) -> None:
         events = tuple(
--- a/tests/daemon/account/test_account.py
+++ b/tests/daemon/account/test_account.py
@@ -169,12 +169,22 @@
             self.store.on_report("entry-a", report)
         self.assertGreater(self.store.dropped, 0)
 
-    def test_a_reply_holds_one_hour(self) -> None:
+    def test_a_reply_holds_the_hours_asked_for(self) -> None:
         self.serve()
         self.run_for(3 * 3600)
-        self.assertEqual(len(self.store.reply({"day": "1970-01-01", "hour": "17"}).minutes), 60)
+        day = "1970-01-01"
+        self.assertEqual(len(self.store.reply({"day": day, "hour": "17"}).minutes), 60)
+        self.assertEqual(
+            len(self.store.reply({"day": day, "hour": "17", "hours": "2"}).minutes), 120
+        )
 
-    @params({"hour": "24"}, {"hour": "x"}, {"hour": "1", "day": "yesterday"}, {"hour": "1"})
+    @params(
+        {"hour": "1", "hours": "7", "day": "1970-01-01"},
+        {"hour": "24"},
+        {"hour": "x"},
+        {"hour": "1", "day": "yesterday"},
+        {"hour": "1"},
+    )
     def test_arguments_that_cannot_be_read(self, arguments: dict[str, str]) -> None:
         with self.assertRaises(BadRequestError):
             self.store.reply(arguments)
