Count cancelled work once in the added load

Every cancelled sub-request is a hedge, retry, restart or needed one already, as the serving path counts them; adding it again overstated the load.

--- a/packages/cli/src/spindle_cli/page/wording.py
+++ b/packages/cli/src/spindle_cli/page/wording.py
@@ -18,7 +18,6 @@
     "hedges": "hedges",
     "retries": "retries",
     "restarts": "restarts on a new snapshot",
-    "cancelled": "cancelled work",
     "probes": "probes",
 }
 
@@ -95,9 +94,11 @@
     """Write the load beyond the least needed, by cause."""
     total = sum(item.count for item in group.added)
     causes = ", ".join(f"{CAUSES[item.name]} {item.count:,}" for item in group.added)
+    cancelled = f"cancelled before their answer, of all sent: {group.cancelled:,}"
     if not group.needed:
-        return f"{total:,} sub-requests, with none needed ({causes})"
-    return f"{percent_up(total, group.needed)} of {group.needed:,} needed sub-requests ({causes})"
+        return f"{total:,} sub-requests, with none needed ({causes}); {cancelled}"
+    share = percent_up(total, group.needed)
+    return f"{share} of {group.needed:,} needed sub-requests ({causes}); {cancelled}"
 
 
 def basis_text(group: GroupPage) -> str:
--- a/packages/decisions/src/spindle_decisions/account/course.py
+++ b/packages/decisions/src/spindle_decisions/account/course.py
@@ -42,9 +42,7 @@
         point.services_asked += group.services_asked
         point.services_delivered += group.services_delivered
         point.needed += group.needed
-        point.added += (
-            group.hedges + group.retries + group.restarts + group.cancelled + group.probes
-        )
+        point.added += group.hedges + group.retries + group.restarts + group.probes
 
     def series(self, gaps: tuple[Gap, ...]) -> tuple[SeriesPoint, ...]:
         """Return the points in order of time."""
--- a/packages/decisions/src/spindle_decisions/account/group_page.py
+++ b/packages/decisions/src/spindle_decisions/account/group_page.py
@@ -15,7 +15,9 @@
     `total` counts every request that ended in the window, and those of which no
     end will ever be known (`lost`). It is the base of all shares. `still_open`
     requests are counted when they end, if need be by the page of the next day.
-    `basis` counts minutes by instance in which the group was reported.
+    `added` counts sub-requests beyond those needed, `cancelled` the part of all
+    that was cancelled before its answer. `basis` counts minutes by instance in
+    which the group was reported.
     """
 
     group: str
@@ -47,6 +49,7 @@
     needed: int
     added: tuple[NamedCount, ...]
     added_load: float | None
+    cancelled: int
     basis: tuple[NamedCount, ...]
     series: tuple[SeriesPoint, ...]
 
--- a/packages/decisions/src/spindle_decisions/account/group_summary.py
+++ b/packages/decisions/src/spindle_decisions/account/group_summary.py
@@ -21,7 +21,9 @@
     `coverage_unstated` counts ends of requests that never named their services,
     such as a refusal before the catalog was read.
 
-    `needed` is the least number of sub-requests; the causes beyond it follow.
+    `needed` is the least number of sub-requests; hedges, retries, restarts and
+    probes were sent beyond it. `cancelled` is the part of all of them that was
+    cancelled before its answer.
     """
 
     group: str
--- a/packages/decisions/src/spindle_decisions/account/group_totals.py
+++ b/packages/decisions/src/spindle_decisions/account/group_totals.py
@@ -30,7 +30,7 @@
     "cancelled",
     "probes",
 )
-CAUSES = ("hedges", "retries", "restarts", "cancelled", "probes")
+CAUSES = ("hedges", "retries", "restarts", "probes")
 
 
 class GroupTotals:
--- a/packages/decisions/src/spindle_decisions/account/page_builder.py
+++ b/packages/decisions/src/spindle_decisions/account/page_builder.py
@@ -130,6 +130,7 @@
             needed=counts["needed"],
             added=added,
             added_load=share(sum(item.count for item in added), counts["needed"]),
+            cancelled=counts["cancelled"],
             basis=_named(totals.minutes),
             series=self.courses[totals.group].series(self.gaps),
         )
--- a/packages/decisions/src/spindle_decisions/account/query_record.py
+++ b/packages/decisions/src/spindle_decisions/account/query_record.py
@@ -9,9 +9,10 @@
     """What one request cost and gave.
 
     `code` is the code of the refusal or empty. `needed` is the least number of
-    sub-requests the request needed; `hedges`, `retries`, `restarts` and
-    `cancelled` count sub-requests sent beyond it, by cause. `missing` names the
-    services that the answer lacks.
+    sub-requests the request needed; `hedges`, `retries` and `restarts` count
+    sub-requests sent beyond it, by cause. `cancelled` counts those of all kinds
+    that were cancelled before their answer; they are part of the other counts.
+    `missing` names the services that the answer lacks.
     """
 
     group: str
--- a/tests/decisions/account/test_page.py
+++ b/tests/decisions/account/test_page.py
@@ -179,3 +179,12 @@
         held = summary_set([counter().checkpoint(), counter(wall_ms=1).checkpoint()])
         held.add_all([b"garbage"])
         self.assertEqual(len(held.problems()), 2)
+
+
+class TestAddedLoad(unittest.TestCase):
+    def test_cancelled_work_is_not_counted_twice(self) -> None:
+        records = [record(hedges=1, cancelled=1), record(retries=1), record(restarts=2), record()]
+        page = build_page(window(), summary_set(run_day(records, minutes=2)))
+        group = page.groups[0]
+        self.assertEqual((group.needed, group.added_load, group.cancelled), (16, 4 / 16, 1))
+        self.assertEqual(sum(item.count for item in group.added), 4)
