--- a/packages/daemon/src/spindle_daemon/components/account/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/account/__init__.py
@@ -1,7 +1,11 @@
 """The account: entry instances count and report, control instances keep the minutes."""
 
+from prometheus_client import REGISTRY
+
 from spindle_daemon.components.account.const import PATH_SUMMARIES
 from spindle_daemon.components.account.coordinator import AccountCoordinator
+from spindle_daemon.components.account.entry_collector import EntryCollector
+from spindle_daemon.components.account.store_collector import StoreCollector
 from spindle_daemon.components.account.summary_sink import SummarySink
 from spindle_daemon.components.account.summary_store import SummaryStore
 from spindle_daemon.components.admin.admin_app import AdminApp
@@ -21,6 +25,7 @@
     spindle.account = account
     spindle.transport.handle(SummaryAck, account.on_ack)
     spindle.on_stop(account.stop)
+    REGISTRY.register(EntryCollector(account.outbox))
     account.start()
 
 
@@ -33,5 +38,6 @@
     spindle.transport.handle(SummaryReport, store.on_report)
     app.route("GET", PATH_SUMMARIES, lambda request: json_ok(store.reply(request.query)))
     spindle.on_stop(store.stop)
+    REGISTRY.register(StoreCollector(store))
     store.start()
     return store
--- a/packages/daemon/src/spindle_daemon/components/account/summary_store.py
+++ b/packages/daemon/src/spindle_daemon/components/account/summary_store.py
@@ -37,7 +37,10 @@
         self.control = spindle.settings.instance.name
         self.ledger = SummaryLedger()
         self.queue: Queue = Queue(maxsize=const.STORE_QUEUE_REPORTS)
+        self.written = 0
+        self.repeated = 0
         self.refused = 0
+        self.failed = 0
         self.dropped = 0
         self.greenlet: gevent.Greenlet | None = None
 
@@ -67,6 +70,9 @@
         if self.ledger.is_newer(summary):
             self.sink.put(report.instance, report.incarnation, report.minute, report.data)
             self.ledger.add(summary)
+            self.written += 1
+        else:
+            self.repeated += 1
         ack = SummaryAck(
             self.control, report.instance, report.incarnation, report.minute, summary.revision
         )
@@ -121,8 +127,10 @@
             try:
                 self.write(report)
             except StorageError as err:
+                self.failed += 1
                 _LOGGER.error("account: summary not written: %s", err)
             except Exception:
+                self.failed += 1
                 _LOGGER.exception("account: summary not written")
 
 
--- a/packages/daemon/src/spindle_daemon/components/timeline/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/timeline/__init__.py
@@ -1,7 +1,10 @@
 """The time line of this process."""
 
+from prometheus_client import REGISTRY
+
 from spindle_daemon.components.admin.admin_app import AdminApp
 from spindle_daemon.components.admin.const import PATH_TIMELINE
+from spindle_daemon.components.timeline.collector import TimelineCollector
 from spindle_daemon.components.timeline.ring import TimelineRing
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.json_response import json_ok
@@ -17,6 +20,7 @@
     """
     ring = TimelineRing(spindle.settings.instance.name, clock)
     spindle.timeline = ring
+    REGISTRY.register(TimelineCollector(ring.ring))
     ring.add(EventKind.PROCESS_STARTED, f"incarnation {spindle.incarnation}")
     return ring
 
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/timeline/collector.py
@@ -0,0 +1,22 @@
+"""Metrics of the time line."""
+
+from collections.abc import Iterable
+
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from spindle_daemon.components.timeline.const import METRIC_DROPPED, METRIC_EVENTS
+from spindle_decisions.timeline.event_ring import EventRing
+
+
+class TimelineCollector(Collector):
+    """Reads the rings when it is asked."""
+
+    def __init__(self, ring: EventRing) -> None:
+        self.ring = ring
+
+    def collect(self) -> Iterable[Metric]:
+        """Return the present values."""
+        held = len(self.ring.of_requests) + len(self.ring.others)
+        yield GaugeMetricFamily(METRIC_EVENTS, "Events held.", value=held)
+        yield CounterMetricFamily(METRIC_DROPPED, "Events let go.", value=self.ring.dropped)
