--- a/tests/cli/test_views.py
+++ b/tests/cli/test_views.py
@@ -5,6 +5,7 @@
 import unittest
 import urllib.parse
 import zoneinfo
+from unittest import mock
 
 from nose2.tools import params
 
@@ -131,6 +132,21 @@
         self.assertIn("control-b", result.stderr)
         self.assertIn("control-a no longer holds its 5 oldest events", result.stderr)
 
+    def test_following_asks_only_for_what_is_new(self) -> None:
+        queries: list[str] = []
+
+        def answer(_body: bytes, query: str) -> object:
+            queries.append(query)
+            event = Event(HlcStamp(10 + len(queries), 2), "control-a", EventKind.DRAIN_SEEN)
+            return TimelineReply("control-a", (event,), 0)
+
+        self.first.on("GET /v1/timeline", answer)
+        with mock.patch("spindle_cli.commands.timeline.gevent.sleep") as sleep:
+            sleep.side_effect = [None, KeyboardInterrupt]
+            result = self.run_cli("timeline", "--follow", controls=(self.first.address,))
+        self.assertEqual(queries, ["", "since=11.2"])
+        self.assertEqual(result.stdout.count("saw a drain"), 2)
+
     def test_explain_tells_the_story(self) -> None:
         self.lines(self.first, 10)
         self.lines(self.second, 20)
--- a/tests/decisions/account/test_page.py
+++ b/tests/decisions/account/test_page.py
@@ -164,6 +164,30 @@
         self.assertEqual(account.close(2 * MINUTE_MS).minute, 10)
 
 
+class TestMidnight(unittest.TestCase):
+    def test_a_request_over_midnight_is_in_exactly_one_day(self) -> None:
+        account = counter()
+        summaries = []
+        for second in range(1, 1200):
+            if second % 7 == 0:
+                account.arrived("comptoir")
+            if second % 7 == 4 and second > 100:
+                account.finished(record())
+            closed = account.tick(second * 1000)
+            summaries.extend([closed] if closed is not None else [])
+        summaries.append(account.close(1_200_000))
+        held = summary_set(summaries)
+        middle, end = 10 * MINUTE_MS, 20 * MINUTE_MS
+        first, second_day = (
+            build_page(window(start, stop), held).groups[0]
+            for start, stop in ((0, middle), (middle, end))
+        )
+        self.assertGreater(first.still_open, 0)
+        self.assertEqual(first.arrived, first.total + first.still_open)
+        self.assertEqual(second_day.arrived + first.still_open, second_day.total)
+        self.assertGreater(second_day.lost, 0)
+
+
 class TestSummarySet(unittest.TestCase):
     def test_the_highest_revision_holds_in_any_order(self) -> None:
         account = counter()
