--- a/packages/daemon/src/spindle_daemon/components/control/operator_api.py
+++ b/packages/daemon/src/spindle_daemon/components/control/operator_api.py
@@ -10,6 +10,7 @@
 from spindle_daemon.components.control.instance_registry import InstanceRegistry
 from spindle_daemon.components.control.raft_driver import RaftDriver
 from spindle_daemon.components.control.repair_desk import RepairDesk, RepairOrder
+from spindle_daemon.components.control.shown_note import shown_note
 from spindle_daemon.components.control.status_view import build_status
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.json_response import JsonResponse, json_ok
@@ -101,9 +102,13 @@
         """Show one note by number."""
         for record in self.driver.state.notes():
             if str(record.number) == request.last_part:
-                return json_ok(record)
+                return json_ok(shown_note(record, self._note_text(record.version)))
         raise BadRequestError(f"no note with number {request.last_part}")
 
+    def _note_text(self, version: int) -> str:
+        texts = self.driver.state.note_texts_between(version - 1, version)
+        return texts[0] if texts else ""
+
     def status(self, _request: AdminRequest) -> JsonResponse:
         """Tell per data centre which version is in force and who has not confirmed it."""
         return json_ok(build_status(self.spindle, self.driver, self.registry))
