--- a/packages/daemon/src/spindle_daemon/components/control/shown_note.py
+++ b/packages/daemon/src/spindle_daemon/components/control/shown_note.py
@@ -13,4 +13,4 @@
 
 def shown_note(record: NoteRecord, text: str) -> ShownNote:
     """Return a record with its text."""
-    return ShownNote(*msgspec.structs.astuple(record), text=text)
+    return ShownNote(**msgspec.structs.asdict(record), text=text)
