Name the folder that a leader speaks to

Found by a new test: an old folder that comes back after another one had been admitted under its name took the heartbeats meant for that one. The leader ignored its answers, so it received no entries; it heard a leader, so it neither campaigned nor asked, and called itself fresh: an instance that is silently out for ever.

Weighed: treating the answer of an unknown folder as a request for admission; it mends the wedge but not the false freshness.

Shown: test_old_folder_that_returns_joins_as_a_learner_first failed before; the soak now also brings older folders back.

--- a/packages/decisions/src/spindle_decisions/consensus/elections.py
+++ b/packages/decisions/src/spindle_decisions/consensus/elections.py
@@ -147,7 +147,7 @@
         if member is None:
             return
         if message.removed:
-            self.stop_campaigning(message.sender)
+            state.mark_removed(message.sender)
             return
         if not message.granted:
             self.leave_for_term(message.term)
@@ -156,15 +156,6 @@
             self.granted.add(message.sender)
             self.count_pre_votes()
 
-    def stop_campaigning(self, peer: str) -> None:
-        """Note that this folder is no longer in the membership."""
-        state = self.state
-        state.become_follower(state.term, None, "removed from the membership")
-        if state.removed:
-            return
-        state.removed = True
-        state.record(RaftEventKind.REFUSED, "this folder is no longer a member", peer)
-
     def leave_for_term(self, term: int) -> None:
         """Follow in a later term that a voter named."""
         if term > self.state.term:
--- a/packages/decisions/src/spindle_decisions/consensus/following.py
+++ b/packages/decisions/src/spindle_decisions/consensus/following.py
@@ -46,6 +46,9 @@
     def accept_leader(self, message: Append | InstallSnapshot) -> bool:
         """Follow the sender if it leads the present term or a later one."""
         state = self.state
+        if message.recipient_folder != state.folder_id:
+            self.note_other_folder(message)
+            return False
         if message.term < state.term:
             self.refuse_old_leader(message)
             return False
@@ -62,6 +65,14 @@
         state.reset_election_deadline()
         return True
 
+    def note_other_folder(self, message: Append | InstallSnapshot) -> None:
+        """Note that a leader counts another folder under this name."""
+        state = self.state
+        if state.is_blank or message.term < state.term:
+            return
+        if message.term > state.term or state.candidacy is not Role.LEADER:
+            state.mark_removed(message.sender)
+
     def refuse_old_leader(self, message: Append | InstallSnapshot) -> None:
         """Tell the leader of an earlier term the present one."""
         state = self.state
--- a/packages/decisions/src/spindle_decisions/consensus/messages/install_snapshot.py
+++ b/packages/decisions/src/spindle_decisions/consensus/messages/install_snapshot.py
@@ -6,11 +6,15 @@
 
 
 class InstallSnapshot(msgspec.Struct, frozen=True, tag="raft-install-snapshot"):
-    """The newest snapshot of the leader, for a member whose next entry is no longer in the log."""
+    """The newest snapshot of the leader, for a member whose next entry is no longer in the log.
+
+    `recipient_folder` is the folder that the leader counts as the recipient.
+    """
 
     sender: str
     sender_folder: str
     recipient: str
+    recipient_folder: str
     term: int
     snapshot: Snapshot
     contact_round: int
--- a/packages/decisions/src/spindle_decisions/consensus/node_state.py
+++ b/packages/decisions/src/spindle_decisions/consensus/node_state.py
@@ -184,6 +184,14 @@
         self.candidacy = None
         self.leader = leader
 
+    def mark_removed(self, peer: str) -> None:
+        """Stop campaigning, as a member knows that this folder is none, and ask to be taken in."""
+        self.become_follower(self.term, None, "removed from the membership")
+        if self.removed:
+            return
+        self.removed = True
+        self.record(RaftEventKind.REFUSED, "this folder is no longer a member", peer)
+
     def lose_leadership(self, reason: str) -> None:
         """Drop what belongs to the leadership; waiting reads go with it."""
         self.leadership = None
--- a/tests/decisions/consensus/test_membership.py
+++ b/tests/decisions/consensus/test_membership.py
@@ -99,6 +99,23 @@
         cluster.run(10)
         self.assertTrue(repaired(cluster, name, f"{name}-2"))
 
+    def test_old_folder_that_returns_joins_as_a_learner_first(self) -> None:
+        cluster = create_cluster(3)
+        name = followers(cluster)[0]
+        old_disk = cluster[name].disk
+        cluster.wipe(name, f"{name}-2")
+        cluster.run(8)
+        cluster.propose(b"x")
+        cluster[name].disk = old_disk
+        cluster[name].start(cluster.now)
+        term = cluster[cluster.elect()].node.term
+        cluster.run(1)
+        self.assertNotEqual(cluster[name].node.role, Role.LEADER)
+        cluster.run(8)
+        self.assertTrue(repaired(cluster, name, f"{name}-1"))
+        self.assertEqual(cluster[name].applied, [b"x"])
+        self.assertEqual(cluster[cluster.elect()].node.term, term)
+
 
 class TestMembershipChanges(unittest.TestCase):
     def test_one_change_at_a_time_and_none_before_the_term_has_committed(self) -> None:
--- a/tests/decisions/consensus/world.py
+++ b/tests/decisions/consensus/world.py
@@ -11,7 +11,7 @@
 from spindle_decisions.consensus.role import Role
 from spindle_decisions.exceptions import MembershipChangeError, NotLeaderError
 from tests.decisions.consensus.acts import Act
-from tests.decisions.consensus.common import TICK_S, Cluster, Instance
+from tests.decisions.consensus.common import TICK_S, Cluster, Instance, MemoryDisk
 from tests.decisions.consensus.oracle import Oracle
 
 MAX_NETWORK = 400
@@ -31,6 +31,7 @@
         self.sync_delay = 0.0
         self.folders = 1
         self.commands = 0
+        self.lost_disks: dict[str, MemoryDisk] = {}
         self.known_marks: dict[str, int] = {}
         self.removed_by_operator: set[str] = set()
         for name in self.names:
@@ -245,14 +246,18 @@
         return len(self.names) - len(whole) < (len(self.names) - 1) // 2
 
     def lose_disk(self) -> None:
-        """Start an instance over with an empty folder, if the rest can bear it."""
+        """Start an instance over with an empty or an older folder, if the rest can bear it."""
         whole = self.whole()
         if not self.may_lose(whole):
             return
         name = self.rng.choice(whole)
         self.folders += 1
         self.frozen.discard(name)
+        old_disk = self.lost_disks.get(name)
+        self.lost_disks[name] = self[name].disk
         self.wipe(name, f"{name}-{self.folders}")
+        if old_disk and self.rng.random() < 0.3:
+            self[name].disk = old_disk
         self.start(name)
 
     def freeze(self) -> None:
