--- /dev/null
+++ b/packages/cli/src/spindle_cli/summary_source.py
@@ -0,0 +1,96 @@
+"""Fetching of the minute summaries of a day from all control instances."""
+
+import datetime
+import urllib.parse
+
+from spindle_cli import const
+from spindle_cli.address import Address
+from spindle_cli.models.member_row import MemberRow
+from spindle_cli.operator_api import OperatorApi
+from spindle_cli.processes import Processes
+from spindle_decisions.account.page_window import PageWindow
+from spindle_decisions.account.summaries_reply import SummariesReply
+from spindle_decisions.account.summary_set import SummarySet
+from spindle_decisions.exceptions import SpindleError
+
+MS_PER_HOUR = 3_600_000
+S_PER_HOUR = 3600
+HOURS_PER_DAY = 24
+HOURS_PER_REQUEST = 6
+
+
+class SummarySource:
+    """Asks every control instance, a few hours at a time, and names those that did not answer.
+
+    The hour before the day is fetched too: it tells which runs were under way
+    at midnight.
+    """
+
+    def __init__(self, api: OperatorApi, processes: Processes) -> None:
+        self.api = api
+        self.processes = processes
+        self.summaries = SummarySet()
+        self.problems: list[str] = []
+
+    def fetch(self, window: PageWindow) -> None:
+        """Fill `summaries` and `problems`."""
+        answered: set[str] = set()
+        failed: dict[Address, str] = {}
+        requests = [
+            (address, path) for path in request_paths(window) for address in self.processes.controls
+        ]
+        for answer in self.api.ask_each(requests, SummariesReply):
+            if answer.value is None:
+                failed.setdefault(answer.address, str(answer.error))
+                continue
+            answered.add(answer.value.control)
+            self.summaries.add_all(answer.value.minutes)
+        for address, error in failed.items():
+            name = self.processes.name_of(address)
+            self.problems.append(f"summaries of {name} are missing: {error}")
+        self._name_unlisted(failed)
+        self._name_unasked(answered, failed)
+
+    def _name_unlisted(self, failed: dict[Address, str]) -> None:
+        for answer in self.processes.failed:
+            if answer.address not in failed:
+                self.problems.append(f"the instances that {answer.address} knows are missing")
+
+    def _name_unasked(self, answered: set[str], failed: dict[Address, str]) -> None:
+        """Name the members of the agreement that none of the addresses led to."""
+        try:
+            members = self.api.ask_any("GET", const.PATH_MEMBERS, tuple[MemberRow, ...])
+        except SpindleError as err:
+            self.problems.append(f"the list of control instances is missing: {err}")
+            return
+        named = {
+            item.instance: Address(item.admin_host, item.admin_port)
+            for item in self.processes.instances
+        }
+        nameless = set(failed) - set(named.values())
+        unasked = [
+            member.name
+            for member in members
+            if member.name not in answered and named.get(member.name) not in failed
+        ]
+        if len(unasked) > len(nameless):
+            names = ", ".join(unasked)
+            self.problems.append(f"no address leads to all of these control instances: {names}")
+
+
+def request_paths(window: PageWindow) -> list[str]:
+    """Return the requests for the day and the hour before, none across midnight UTC."""
+    hour = (window.from_ms - MS_PER_HOUR) // MS_PER_HOUR
+    end = -(-window.horizon_ms() // MS_PER_HOUR)
+    paths: list[str] = []
+    while hour < end:
+        hours = min(HOURS_PER_REQUEST, HOURS_PER_DAY - hour % HOURS_PER_DAY, end - hour)
+        paths.append(_path(hour, hours))
+        hour += hours
+    return paths
+
+
+def _path(hour: int, hours: int) -> str:
+    day = datetime.datetime.fromtimestamp(hour * S_PER_HOUR, datetime.UTC).date()
+    query = {"day": day.isoformat(), "hour": hour % HOURS_PER_DAY, "hours": hours}
+    return f"{const.PATH_SUMMARIES}?{urllib.parse.urlencode(query)}"
