Document serving; send runs under the caller's id

The upstream protocol names a run by the caller's Idempotency-Key, so that its records can be compared with what was told; the entry sent an id of its own.

--- a/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
@@ -178,11 +178,13 @@
         group = self.board.index.groups.get(call.group)
         if group is None:
             raise UnknownGroupError(f"no group {call.group}")
+        attempt = log.request_id
+        log.known_as(call.request_id)
         deadline_ms = call.deadline_ms or group.deadline_ms
         runner = RunRunner(
             call,
             self._owner(group, call.key),
-            log.request_id,
+            attempt,
             log.arrived_at + deadline_ms / const.MS_PER_S,
             self.claims,
             self.board,
--- a/packages/daemon/src/spindle_daemon/components/serving/request_log.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/request_log.py
@@ -27,6 +27,13 @@
         self.missing: tuple[str, ...] = ()
         self.ended = False
 
+    def known_as(self, caller_id: str) -> None:
+        """Go on under the id that the caller gave, which all its sendings share."""
+        self.spindle.timeline.add(
+            EventKind.REQUEST_ARRIVED, f"sending {self.request_id}", request_id=caller_id
+        )
+        self.request_id = caller_id
+
     def took(self, result: QueryResult) -> None:
         """Take in what the work cost and gave."""
         self.costs = result.costs
--- a/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
@@ -173,7 +173,7 @@
 
     def _exchange(self, state: UpstreamState, left_s: float) -> bytes | FailureKind:
         headers = {
-            HEADER_REQUEST_ID: self.attempt,
+            HEADER_REQUEST_ID: self.call.request_id,
             HEADER_DEADLINE_MS: str(max(1, int(left_s * const.MS_PER_S))),
         }
         body = _ENCODER.encode(RunBody(self.service, self.call.key, self.call.body))
@@ -187,7 +187,7 @@
             return FailureKind.BROKEN if reply.sent else FailureKind.UNSENT
         self.news.heard(state.name, reply, self.spindle.clock.now())
         failure = reply_verdict(
-            reply.status, self.attempt, reply.request_id, reply.not_run, reply.draining
+            reply.status, self.call.request_id, reply.request_id, reply.not_run, reply.draining
         )
         if failure is not None:
             return failure
--- a/tests/daemon/serving/test_run.py
+++ b/tests/daemon/serving/test_run.py
@@ -41,6 +41,7 @@
             self.assertEqual((200, True), (second.status, second.body["replayed"]))
             self.assertEqual(first.body["outcome"], second.body["outcome"])
             self.assertEqual(1, ran(it))
+            self.assertEqual({ID}, {item.request_id for item in it.executions()})
 
     def test_resend_while_it_runs(self) -> None:
         with bench(median_ms=200.0) as it:
