--- a/bench/experiments/serving/overload.py
+++ b/bench/experiments/serving/overload.py
@@ -1,5 +1,6 @@
 """What is still served when twice the capacity is asked for."""
 
+import dataclasses
 from collections.abc import Mapping, Sequence
 
 from bench.experiments.arm import Arm
@@ -8,12 +9,14 @@
 from bench.experiments.figures import Figures, number
 from bench.experiments.serving.not_run_check import ran_after_all
 from bench.experiments.serving.serving_arm import ServingArm, arms_without
-from bench.experiments.serving.serving_run import measure, serving, warm_up
+from bench.experiments.serving.serving_deployment import ServingDeployment
+from bench.experiments.serving.serving_run import measure, serving_plan, warm_up
+from bench.experiments.serving.session import deployed_arm
 from bench.experiments.serving.workload import Workload
 from bench.experiments.target import Target, at_least, at_most
 
 FULL = Workload(load_factor=2.0, duration_s=30.0, warm_up_s=5.0, median_ms=80.0, deadline_ms=1_000)
-SHORT = Workload(load_factor=2.0, duration_s=6.0, warm_up_s=2.0, median_ms=80.0, deadline_ms=1_000)
+SHORT = dataclasses.replace(FULL, duration_s=5.0, warm_up_s=1.5)
 GOODPUT = 0.9
 ADDED_LOAD = 0.05
 REFUSAL_P99_MS = 50.0
@@ -22,17 +25,16 @@
 def _arm(context: Context, arm: ServingArm) -> Arm:
     workload = SHORT if context.short else FULL
 
-    def run() -> Figures:
-        with serving(context, arm, workload) as deployment:
-            warm_up(context, workload, deployment)
-            figures, run = measure(context, arm, workload, deployment)
-            served_per_s = sum(item.full for item in run.records) / workload.duration_s
-            figures["goodput_queries_per_s"] = round(served_per_s, 2)
-            figures["goodput_ratio"] = round(served_per_s / workload.capacity_per_s, 4)
-            figures["not_run_that_ran"] = ran_after_all(run.records, deployment.executions())
-            return figures
-
-    return Arm(arm.name, run)
+    def run(deployment: ServingDeployment) -> Figures:
+        warm_up(context, workload, deployment)
+        figures, run = measure(context, arm, workload, deployment)
+        served_per_s = sum(item.full for item in run.records) / workload.duration_s
+        figures["goodput_queries_per_s"] = round(served_per_s, 2)
+        figures["goodput_ratio"] = round(served_per_s / workload.capacity_per_s, 4)
+        figures["not_run_that_ran"] = ran_after_all(run.records, deployment.executions())
+        return figures
+
+    return deployed_arm(context, arm, lambda: serving_plan(context, arm, workload), run)
 
 
 def _arms(context: Context) -> Sequence[Arm]:
--- a/packages/daemon/src/spindle_daemon/components/control/operator_api.py
+++ b/packages/daemon/src/spindle_daemon/components/control/operator_api.py
@@ -9,6 +9,7 @@
 from spindle_daemon.components.control.const import NOTE_TIMEOUT_S
 from spindle_daemon.components.control.instance_registry import InstanceRegistry
 from spindle_daemon.components.control.raft_driver import RaftDriver
+from spindle_daemon.components.control.repair_desk import RepairDesk, RepairOrder
 from spindle_daemon.components.control.status_view import build_status
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.json_response import JsonResponse, json_ok
@@ -18,7 +19,6 @@
 from spindle_decisions.consensus.member import Member
 from spindle_decisions.consensus.membership_set import MembershipSet
 from spindle_decisions.exceptions import BadRequestError, NoteError
-from spindle_decisions.notes.applier import apply_note
 from spindle_decisions.notes.parser import parse_note
 
 _LOGGER = logging.getLogger(__name__)
@@ -28,14 +28,6 @@
 STATUS_UNPROCESSABLE = 422
 
 
-class CheckedNote(msgspec.Struct, frozen=True):
-    """The answer to a check: what the note would lead to."""
-
-    number: int
-    digest: str
-    version: int
-
-
 class IdentityView(msgspec.Struct, frozen=True):
     """Who a control instance is in the agreement."""
 
@@ -73,6 +65,7 @@
         self.driver = driver
         self.registry = registry
         self.folder_id = folder_id
+        self.desk = RepairDesk(driver, spindle.clock)
 
     def register(self, app: AdminApp) -> None:
         """Add the routes."""
@@ -86,25 +79,19 @@
         app.route("GET", "/v1/reports", self.reports)
         app.route("GET", "/v1/identity", self.identity)
         app.route("POST", "/v1/bootstrap", self.bootstrap)
+        app.route("POST", "/v1/repair", self.repair)
 
     def apply(self, request: AdminRequest) -> JsonResponse:
         """Have a release note agreed; the same note again gets the same answer."""
         text = _text(request.body)
         parse_note(text)
         reply = self.spindle.control.propose(ApplyNote(text, 0), NOTE_TIMEOUT_S)
-        if isinstance(reply.result, NoteApplied):
-            return json_ok(reply.result)
-        if isinstance(reply.result, NoteRefused):
-            taken = reply.result.code == CODE_NUMBER_TAKEN
-            status = STATUS_CONFLICT if taken else STATUS_UNPROCESSABLE
-            return JsonResponse(status, msgspec.json.encode(reply.result))
-        raise NoteError(f"unexpected result {type(reply.result).__name__}")
+        assert isinstance(reply.result, NoteApplied | NoteRefused)
+        return _note_response(reply.result)
 
     def check(self, request: AdminRequest) -> JsonResponse:
         """Check a release note against the state that is applied here; change nothing."""
-        note = parse_note(_text(request.body))
-        catalog = apply_note(self.driver.state.catalog, note)
-        return json_ok(CheckedNote(note.number, note.digest, catalog.version))
+        return _note_response(self.driver.state.check_note(_text(request.body)))
 
     def notes(self, _request: AdminRequest) -> JsonResponse:
         """List the applied notes."""
@@ -127,7 +114,7 @@
 
     def instances(self, _request: AdminRequest) -> JsonResponse:
         """List all instances with their admin addresses."""
-        return json_ok((self.registry.self_entry(), *self.registry.table.live()))
+        return json_ok((self.spindle.self_entry(), *self.registry.table.live()))
 
     def reports(self, _request: AdminRequest) -> JsonResponse:
         """List all entry instances with the configuration that each confirmed."""
@@ -162,6 +149,21 @@
         self.driver.pump()
         return json_ok(members)
 
+    def repair(self, request: AdminRequest) -> JsonResponse:
+        """Explain the agreement, or force a membership after a majority was lost."""
+        try:
+            order = msgspec.json.decode(request.body, type=RepairOrder)
+        except msgspec.MsgspecError as err:
+            raise BadRequestError(f"repair request is malformed: {err}") from err
+        return json_ok(self.desk.handle(order))
+
+
+def _note_response(result: NoteApplied | NoteRefused) -> JsonResponse:
+    if isinstance(result, NoteApplied):
+        return json_ok(result)
+    status = STATUS_CONFLICT if result.code == CODE_NUMBER_TAKEN else STATUS_UNPROCESSABLE
+    return JsonResponse(status, msgspec.json.encode(result))
+
 
 def _text(body: bytes) -> str:
     try:
--- a/packages/decisions/src/spindle_decisions/account/summary_outbox.py
+++ b/packages/decisions/src/spindle_decisions/account/summary_outbox.py
@@ -13,9 +13,12 @@
     """Keeps every minute until a control instance has it on disk, and says what to send.
 
     Summaries go to one control instance at a time. When it leaves one
-    unconfirmed for `ACK_TIMEOUT_S`, all unconfirmed ones go to the next. At most
+    unconfirmed for `ACK_TIMEOUT_S`, all unconfirmed ones go to the next. Until
+    the first confirmation of the run they go to all control instances: a run of
+    which no control instance ever heard could not even be missed. At most
     `WINDOW_BYTES` are unconfirmed on the way at a time, but always one summary,
-    so that a backlog after a cut does not flood the network. Memory is bounded:
+    so that a backlog after a cut does not flood the network. What was tried least
+    goes first: a summary that is refused everywhere holds up no other. Memory is bounded:
     beyond the bounds the oldest minute is given up, counted, and will stand on
     the page as a gap.
     """
@@ -27,6 +30,7 @@
         self.bytes = 0
         self.given_up = 0
         self.moves = 0
+        self.heard = False
 
     def put(self, minute: int, revision: int, data: bytes) -> None:
         """Keep a summary; it replaces an earlier revision of the same minute."""
@@ -38,29 +42,36 @@
             self.given_up += 1
 
     def due(self, now: float) -> list[OutboxSend]:
-        """Return what to send now, oldest minute first."""
+        """Return what to send now: least tried first, then the oldest minute."""
         if self._has_expired(now):
             self._move_on()
         on_the_way = sum(
             len(item.data) for item in self.minutes.values() if item.sent_at is not None
         )
         sends: list[OutboxSend] = []
-        for item in self.minutes.values():
-            if item.sent_at is not None:
-                continue
+        for item in self._waiting():
             if on_the_way and on_the_way + len(item.data) > WINDOW_BYTES:
                 break
             item.sent_at = now
+            item.tries += 1
             on_the_way += len(item.data)
-            sends.append(OutboxSend(self.controls[self.current], item.minute, item.data))
+            sends.extend(OutboxSend(address, item.minute, item.data) for address in self._targets())
         return sends
 
     def acked(self, minute: int, revision: int) -> None:
         """Forget a minute that is on disk at this or a later revision."""
+        self.heard = True
         item = self.minutes.get(minute)
         if item is not None and revision >= item.revision:
             self._remove(minute)
 
+    def _waiting(self) -> list[PendingMinute]:
+        waiting = [item for item in self.minutes.values() if item.sent_at is None]
+        return sorted(waiting, key=lambda item: (item.tries, item.minute))
+
+    def _targets(self) -> tuple[str, ...]:
+        return (self.controls[self.current],) if self.heard else self.controls
+
     def _is_over(self) -> bool:
         return len(self.minutes) > MAX_PENDING_MINUTES or self.bytes > MAX_PENDING_BYTES
 
--- a/packages/decisions/src/spindle_decisions/consensus/node_state.py
+++ b/packages/decisions/src/spindle_decisions/consensus/node_state.py
@@ -41,6 +41,7 @@
         self.rng = rng
         self.now = now
         self.started_at = now
+        self.woke_at = -math.inf
         self.term = restored.hard_state.term
         self.vote = restored.hard_state.vote
         self.log = RaftLog()
@@ -49,6 +50,7 @@
         self.commit_index = self.log.base_index
         self.applied_index = self.log.base_index
         self.outbox = Outbox(self.log.last_index)
+        self.enter_restored_term()
         self.candidacy: Role | None = None
         self.leader: str | None = None
         self.leader_contact_at = -math.inf
@@ -59,6 +61,8 @@
         self.forced: MembershipSet | None = None
         self.forced_reason = ""
         self.forced_until = 0.0
+        self.voters_of: MembershipSet | None = None
+        self.known_voters: tuple[Member, ...] = ()
         self.events: list[RaftEvent] = []
         self.reads_ready: list[ReadReady] = []
         self.restore: Snapshot | None = None
@@ -75,6 +79,11 @@
             self.log.append(entry)
             self.history.append(entry)
 
+    def enter_restored_term(self) -> None:
+        """Be in no earlier term than the log, which a crash may have left ahead."""
+        if self.log.last_term > self.term:
+            self.enter_term(self.log.last_term, "")
+
     @property
     def membership(self) -> MembershipSet:
         """Return the membership in force for this node."""
@@ -104,10 +113,19 @@
             return Role.BLANK
         return Role.FOLLOWER if self.is_voter else Role.LEARNER
 
+    @property
+    def voters(self) -> tuple[Member, ...]:
+        """Return the voters in force; they are worked out once for each membership."""
+        membership = self.membership
+        if membership is not self.voters_of:
+            self.voters_of = membership
+            self.known_voters = membership.voters()
+        return self.known_voters
+
     @property
     def quorum(self) -> int:
         """Return how many voters are a majority."""
-        return len(self.membership.voters()) // 2 + 1
+        return len(self.voters) // 2 + 1
 
     def identified(self, name: str, folder_id: str) -> Member | None:
         """Return the member of that name if it has that folder."""
@@ -118,7 +136,7 @@
 
     def counts(self, names: set[str]) -> bool:
         """Return whether the named members hold a majority of the votes."""
-        votes = sum(1 for member in self.membership.voters() if member.name in names)
+        votes = sum(1 for member in self.voters if member.name in names)
         return votes >= self.quorum
 
     def heard_leader_recently(self) -> bool:
@@ -127,6 +145,24 @@
             return True
         return self.now - self.leader_contact_at < self.settings.election_min_s
 
+    def move_clock(self, now: float) -> None:
+        """Set the time, and note when the process seems to have stood still."""
+        if now - self.now > self.settings.election_min_s:
+            self.woke_at = now
+        self.now = max(self.now, now)
+
+    def note_leader_contact(self, quorum_age_s: float) -> None:
+        """Note word from a leader whose own contact with a quorum is that old.
+
+        Right after a standstill the messages that waited meanwhile come in, and
+        their age is unknown, so for a while they prove no quorum.
+        """
+        self.leader_contact_at = self.now
+        if self.now - self.woke_at < self.settings.election_min_s:
+            return
+        contact_at = self.now - max(0.0, quorum_age_s)
+        self.quorum_contact_at = max(self.quorum_contact_at, contact_at)
+
     def reset_election_deadline(self) -> None:
         """Wait anew, a random time, before asking for an election."""
         low = self.settings.election_min_s
--- a/packages/decisions/src/spindle_decisions/consensus/replication.py
+++ b/packages/decisions/src/spindle_decisions/consensus/replication.py
@@ -46,15 +46,17 @@
         lead.progress = kept
 
     def tick(self, lead: Leadership) -> None:
-        """Send heartbeats when they are due."""
+        """Send heartbeats when they are due, and commits that nothing else carried."""
         if self.state.now >= lead.next_heartbeat_at:
             self.heartbeat(lead)
+        self.tell_commit(lead)
 
     def heartbeat(self, lead: Leadership) -> None:
         """Start a contact round with every member."""
         state = self.state
         lead.next_heartbeat_at = state.now + state.settings.heartbeat_s
         self.start_round(lead)
+        lead.quorum_age_s = self.quorum_age(lead, state.now)
         for name, progress in lead.progress.items():
             progress.paused = False
             self.contact(lead, name, progress)
@@ -90,16 +92,33 @@
             prev_term=0,
             commit_index=0,
             contact_round=lead.latest_round,
-            quorum_age_s=self.quorum_age(lead, state.now),
+            quorum_age_s=lead.quorum_age_s,
         )
         state.outbox.send(heartbeat)
 
     def flush(self, lead: Leadership) -> None:
         """Send the members the entries that they lack, within the window of each."""
+        lead.quorum_age_s = self.quorum_age(lead, self.state.now)
         for name, progress in lead.progress.items():
             while self.send_more(lead, name, progress):
                 pass
 
+    def tell_commit(self, lead: Leadership) -> None:
+        """Tell members of a commit that no entry carried to them since the last tick.
+
+        Without this a member would apply what is agreed only after a heartbeat;
+        telling it with every commit would cost a message for each batch.
+        """
+        for name, progress in lead.progress.items():
+            if self.lacks_commit(progress):
+                self.send_append(lead, name, progress, with_entries=False)
+
+    def lacks_commit(self, progress: Progress) -> bool:
+        """Return whether a member holds entries that it does not know to be committed."""
+        if progress.mode is not ProgressMode.STREAM:
+            return False
+        return progress.told_commit < min(self.state.commit_index, progress.match_index)
+
     def send_more(self, lead: Leadership, name: str, progress: Progress) -> bool:
         """Send one message of entries, or a snapshot; return whether any was sent."""
         state = self.state
@@ -141,9 +160,10 @@
             prev_term,
             state.commit_index,
             lead.latest_round,
-            self.quorum_age(lead, state.now),
+            lead.quorum_age_s,
             entries,
         )
+        progress.told_commit = state.commit_index
         state.outbox.send(message)
 
     def send_snapshot(self, lead: Leadership, name: str, progress: Progress) -> bool:
@@ -161,7 +181,7 @@
             state.term,
             snapshot,
             lead.latest_round,
-            self.quorum_age(lead, state.now),
+            lead.quorum_age_s,
         )
         state.outbox.send(message)
         return True
@@ -233,6 +253,8 @@
     def advance_commit(self, lead: Leadership) -> None:
         """Commit the newest entry of the own term that a majority holds on disk."""
         state = self.state
+        if state.commit_index == state.log.last_index:
+            return
         matches = sorted((self.match_of(lead, name) for name in self.voter_names()), reverse=True)
         index = matches[state.quorum - 1]
         if index > state.commit_index and state.log.term_at(index) == state.term:
@@ -240,7 +262,7 @@
 
     def voter_names(self) -> list[str]:
         """Return the names of the voters in force."""
-        return [member.name for member in self.state.membership.voters()]
+        return [member.name for member in self.state.voters]
 
     def match_of(self, lead: Leadership, name: str) -> int:
         """Return up to where a voter holds the log on disk."""
