--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/serving/conclusion.py
@@ -0,0 +1,45 @@
+"""What a caller is told at the end of a query."""
+
+import msgspec
+
+from spindle_daemon.components.serving.query_answer import QueryAnswer
+from spindle_decisions.exceptions import (
+    CoverageBelowMinimumError,
+    DeadlineExceededError,
+    OverloadedError,
+    RefusalError,
+)
+from spindle_decisions.serving.query_end import QueryEnd
+from spindle_decisions.serving.query_result import QueryResult
+
+AGE_DIGITS = 3
+
+
+def answer_for(
+    result: QueryResult, request_id: str, config_version: int, config_age_s: float
+) -> QueryAnswer:
+    """Return the answer with the rows of all covered services."""
+    rows: list[msgspec.Raw] = []
+    for part in result.rows:
+        rows.extend(part)
+    return QueryAnswer(
+        request_id=request_id,
+        snapshot=str(result.snapshot),
+        services_total=len(result.covered) + len(result.missing),
+        covered=list(result.covered),
+        missing=list(result.missing),
+        rows=rows,
+        config_version=config_version,
+        config_age_s=round(config_age_s, AGE_DIGITS),
+    )
+
+
+def refusal_for(result: QueryResult, least: float) -> RefusalError:
+    """Return the refusal for a query whose answer does not cover enough."""
+    total = len(result.covered) + len(result.missing)
+    covered = f"{len(result.covered)} of {total} services covered"
+    if result.end is QueryEnd.OVERLOADED:
+        return OverloadedError("the queues of too many services are full")
+    if result.end is QueryEnd.DEADLINE:
+        return DeadlineExceededError(f"{covered} at the deadline")
+    return CoverageBelowMinimumError(f"{covered}, at least {least:g} wanted")
--- a/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
@@ -3,11 +3,12 @@
 import logging
 
 import gevent
-import msgspec
 
 from spindle_daemon.components.serving import const
+from spindle_daemon.components.serving.body_table import BodyTable
 from spindle_daemon.components.serving.caller import Caller
 from spindle_daemon.components.serving.claims import Claims
+from spindle_daemon.components.serving.conclusion import answer_for, refusal_for
 from spindle_daemon.components.serving.metrics import ServingMetrics
 from spindle_daemon.components.serving.prober import Prober
 from spindle_daemon.components.serving.query_answer import QueryAnswer
@@ -28,16 +29,11 @@
 from spindle_decisions.catalog.group import Group, GroupKind
 from spindle_decisions.exceptions import (
     BadRequestError,
-    CoverageBelowMinimumError,
-    DeadlineExceededError,
     NotRunError,
-    OverloadedError,
-    RefusalError,
     UnknownGroupError,
 )
 from spindle_decisions.serving.query_end import QueryEnd
 from spindle_decisions.serving.query_plan import QueryPlan
-from spindle_decisions.serving.query_result import QueryResult
 from spindle_decisions.serving.service_owner import service_owner
 from spindle_decisions.serving.upstream_board import UpstreamBoard
 from spindle_decisions.timeline.event_kind import EventKind
@@ -45,26 +41,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 UNKNOWN_GROUP = "unknown"
-_ENCODER = msgspec.json.Encoder()
-
-
-class QueryBody(msgspec.Struct, frozen=True):
-    """The body of a sub-request."""
-
-    service: str
-    query: msgspec.Raw
-
-
-class BodyTable(dict[str, bytes]):
-    """Sub-request bodies by service, encoded when first needed."""
-
-    def __init__(self, query: msgspec.Raw) -> None:
-        super().__init__()
-        self.query = query
-
-    def __missing__(self, service: str) -> bytes:
-        body = self[service] = _ENCODER.encode(QueryBody(service, self.query))
-        return body
 
 
 class ServingCoordinator:
@@ -80,6 +56,7 @@
         self.claims = Claims(spindle)
         self.started_at = spindle.clock.now()
         self.sequence = 0
+        self.limits: dict[str, int] = {}
 
     @property
     def primed(self) -> bool:
@@ -117,10 +94,20 @@
             )
 
     def keep_shares(self) -> None:
-        """Refresh the shares for ever; they also change as time passes."""
+        """Refresh the shares for ever, as they also change with time; report limits."""
         while True:
             gevent.sleep(const.SHARES_PERIOD_S)
             self.refresh_shares()
+            self._report_limits()
+
+    def _report_limits(self) -> None:
+        for state in self.board.states.values():
+            limit = int(state.limit.value)
+            if self.limits.setdefault(state.name, limit) != limit:
+                self.limits[state.name] = limit
+                self.spindle.timeline.add(
+                    EventKind.LIMIT_CHANGED, f"{limit} at once", upstream=state.name
+                )
 
     def stop(self) -> None:
         """Stop probing and close all connections; called when nothing is in flight."""
@@ -168,7 +155,16 @@
         finally:
             caller.unwatch()
         log.took(result)
-        return self._conclude(call, group, result, log)
+        if result.end is QueryEnd.CALLER_GONE:
+            log.finished(QueryOutcome.CALLER_GONE)
+            return None
+        least = group.min_coverage if call.min_coverage is None else call.min_coverage
+        if not result.covered or result.coverage < least:
+            raise refusal_for(result, least)
+        whole = result.end is QueryEnd.COMPLETE
+        log.finished(QueryOutcome.ANSWERED if whole else QueryOutcome.PARTIAL)
+        version, age_s = self.board.index.catalog.version, self.spindle.catalog.age_s()
+        return answer_for(result, log.request_id, version, age_s)
 
     def run(self, call: RunCall, log: RequestLog) -> RunAnswer:
         """Run a non-idempotent request at most once; raise a `RefusalError`.
@@ -220,31 +216,6 @@
             raise BadRequestError(f"group {call.group} takes requests to one service only")
         return group
 
-    def _conclude(
-        self, call: QueryCall, group: Group, result: QueryResult, log: RequestLog
-    ) -> QueryAnswer | None:
-        if result.end is QueryEnd.CALLER_GONE:
-            log.finished(QueryOutcome.CALLER_GONE)
-            return None
-        least = group.min_coverage if call.min_coverage is None else call.min_coverage
-        if not result.covered or result.coverage < least:
-            raise refusal_for(result, least)
-        whole = result.end is QueryEnd.COMPLETE
-        log.finished(QueryOutcome.ANSWERED if whole else QueryOutcome.PARTIAL)
-        rows: list[msgspec.Raw] = []
-        for part in result.rows:
-            rows.extend(part)  # type: ignore[arg-type]
-        return QueryAnswer(
-            request_id=log.request_id,
-            snapshot=str(result.snapshot),
-            services_total=len(result.covered) + len(result.missing),
-            covered=list(result.covered),
-            missing=list(result.missing),
-            rows=rows,
-            config_version=self.board.index.catalog.version,
-            config_age_s=round(self.spindle.catalog.age_s(), 3),
-        )
-
     def _follow_channels(self) -> None:
         for name in [name for name in self.channels if name not in self.board.states]:
             self.channels.pop(name).close()
@@ -256,14 +227,3 @@
                     channel.close()
                 channel = self.channels[name] = UpstreamChannel(upstream.host, upstream.port)
             channel.shrink(state.share)
-
-
-def refusal_for(result: QueryResult, least: float) -> RefusalError:
-    """Return the refusal for a query whose answer does not cover enough."""
-    total = len(result.covered) + len(result.missing)
-    covered = f"{len(result.covered)} of {total} services covered"
-    if result.end is QueryEnd.OVERLOADED:
-        return OverloadedError("the queues of too many services are full")
-    if result.end is QueryEnd.DEADLINE:
-        return DeadlineExceededError(f"{covered} at the deadline")
-    return CoverageBelowMinimumError(f"{covered}, at least {least:g} wanted")
--- a/packages/daemon/src/spindle_daemon/components/serving/prober.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/prober.py
@@ -15,6 +15,7 @@
 from spindle_daemon.core.spindle import Spindle
 from spindle_decisions.serving.upstream_board import UpstreamBoard
 from spindle_decisions.serving.upstream_state import UpstreamState
+from spindle_decisions.timeline.event_kind import EventKind
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -101,5 +102,8 @@
         if reply is None or isinstance(reply, SendFailure) or reply.status != 200:
             if self.board.probe_failed(state, now):
                 _LOGGER.info("serving: %s ejected, probes fail", state.name)
+                self.spindle.timeline.add(
+                    EventKind.REPLICA_EJECTED, "probes fail", upstream=state.name
+                )
             return
         self.news.status(state.name, reply, now)
--- a/packages/decisions/src/spindle_decisions/serving/query_result.py
+++ b/packages/decisions/src/spindle_decisions/serving/query_result.py
@@ -1,6 +1,7 @@
 """What one query found."""
 
 import dataclasses
+from typing import Any
 
 from spindle_decisions.serving.query_costs import QueryCosts
 from spindle_decisions.serving.query_end import QueryEnd
@@ -19,7 +20,7 @@
     snapshot: SnapshotId | None
     covered: tuple[str, ...]
     missing: tuple[str, ...]
-    rows: tuple[object, ...]
+    rows: tuple[Any, ...]
     costs: QueryCosts
 
     @property
