--- a/packages/daemon/src/spindle_daemon/components/serving/claims.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/claims.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import OrderedDict
+from collections.abc import Callable
 
 import gevent
 
@@ -38,6 +39,7 @@
     def __init__(self, spindle: Spindle) -> None:
         self.spindle = spindle
         self.dispatched: OrderedDict[str, None] = OrderedDict()
+        self.pending: set[gevent.Greenlet] = set()
 
     def claim(self, claim: ClaimRun, timeout_s: float) -> ClaimAnswer:
         """Have the claim agreed.
@@ -53,7 +55,7 @@
                 raise OutcomeUnknownError("an earlier sending may have run") from None
             raise
         except OutcomeUnknownError:
-            gevent.spawn(self._release_unused, claim)
+            self._in_background(self._release_unused, claim)
             raise OutcomeUnknownError(
                 "the claim may be agreed late; this sending runs nothing, send the id again"
             ) from None
@@ -78,7 +80,16 @@
         """Record an outcome in the background, until it is agreed or out of retention."""
         if not outcome.ran:
             self.dispatched.pop(outcome.request_id, None)
-        gevent.spawn(self._keep_proposing, outcome)
+        self._in_background(self._keep_proposing, outcome)
+
+    def finish(self, timeout_s: float) -> None:
+        """Wait for outcomes that are still to be recorded, as before a planned stop."""
+        gevent.joinall(list(self.pending), timeout=timeout_s)
+
+    def _in_background(self, work: Callable[..., object], command: Command) -> None:
+        greenlet = gevent.spawn(work, command)
+        self.pending.add(greenlet)
+        greenlet.link(self.pending.discard)
 
     def _release_unused(self, claim: ClaimRun) -> None:
         """Find out whether a claim was agreed, then give it back.
--- a/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
@@ -110,7 +110,8 @@
                 )
 
     def stop(self) -> None:
-        """Stop probing and close all connections; called when nothing is in flight."""
+        """Record what is left, stop probing, close all connections; nothing is in flight."""
+        self.claims.finish(const.STOP_RECORDS_S)
         self.prober.stop()
         for channel in self.channels.values():
             channel.close()
@@ -174,6 +175,8 @@
         group = self.board.index.groups.get(call.group)
         if group is None:
             raise UnknownGroupError(f"no group {call.group}")
+        if group.kind is not GroupKind.REQUEST:
+            raise BadRequestError(f"group {call.group} takes queries only")
         attempt = log.request_id
         log.known_as(call.request_id)
         deadline_ms = call.deadline_ms or group.deadline_ms
--- a/packages/daemon/src/spindle_daemon/components/serving/prober.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/prober.py
@@ -94,10 +94,13 @@
             self.board.grant_waiting(state.upstream.service, self.spindle.clock.now())
 
     def _ask(self, state: UpstreamState) -> None:
+        channel = self.channels.get(state.name)
+        if channel is None:
+            return
         self.metrics.probes.inc()
         reply = None
         with gevent.Timeout(const.PROBE_TIMEOUT_S, False):
-            reply = self.channels[state.name].exchange(METHOD_GET, const.PATH_STATUS, b"", {})
+            reply = channel.exchange(METHOD_GET, const.PATH_STATUS, b"", {})
         now = self.spindle.clock.now()
         if reply is None or isinstance(reply, SendFailure) or reply.status != 200:
             if self.board.probe_failed(state, now):
--- a/packages/daemon/src/spindle_daemon/components/serving/query_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/query_runner.py
@@ -110,9 +110,12 @@
             HEADER_SNAPSHOT: str(send.snapshot),
             HEADER_DEADLINE_MS: str(max(1, int(left_ms))),
         }
-        channel = self.channels[send.upstream]
-        body = self.body_of[send.service]
-        reply = channel.exchange(METHOD_POST, const.PATH_QUERY, body, headers)
+        channel = self.channels.get(send.upstream)
+        if channel is None:
+            reply: UpstreamReply | SendFailure = SendFailure(False, "withdrawn from the catalog")
+        else:
+            body = self.body_of[send.service]
+            reply = channel.exchange(METHOD_POST, const.PATH_QUERY, body, headers)
         self.greenlets.pop(send.attempt, None)
         self._replied(send, sent_id, reply)
         self._carry_out()
--- a/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
@@ -177,7 +177,9 @@
             HEADER_DEADLINE_MS: str(max(1, int(left_s * const.MS_PER_S))),
         }
         body = _ENCODER.encode(RunBody(self.service, self.call.key, self.call.body))
-        channel = self.channels[state.name]
+        channel = self.channels.get(state.name)
+        if channel is None:
+            return FailureKind.UNSENT
         reply = None
         with gevent.Timeout(left_s + const.RUN_LATE_S, False):
             reply = channel.exchange(METHOD_POST, const.PATH_RUN, body, headers)
--- a/tests/daemon/serving/test_run.py
+++ b/tests/daemon/serving/test_run.py
@@ -144,6 +144,16 @@
             self.assertEqual(200, it.tier.run("set-12", ID).status)
             wait_until(self, lambda: ID in it.tier.control.outcomes)
 
+    def test_planned_stop_waits_for_the_record(self) -> None:
+        with bench() as it:
+            it.tier.control.before = lambda command: gevent.sleep(0.5)
+            answer = it.tier.run("set-12", ID)
+            self.assertNotIn(ID, it.tier.control.outcomes)
+            it.tier.spindle.stop()
+            self.assertEqual(200, answer.status)
+            self.assertIn(ID, it.tier.control.outcomes)
+            it.tier.spindle.stop_hooks.clear()
+
     @params("", "not-a-uuid", "7f0c1f0e-7a46-4a3a-9d5e-0123456789ab", ID.replace("-", ""))
     def test_bad_id(self, request_id: str) -> None:
         with bench() as it:
