--- a/packages/decisions/src/spindle_decisions/serving/scatter.py
+++ b/packages/decisions/src/spindle_decisions/serving/scatter.py
@@ -1,6 +1,5 @@
 """The life of one query, from its start to exactly one end."""
 
-import heapq
 from collections.abc import Callable
 
 from spindle_decisions.serving.attempt_kind import AttemptKind
@@ -14,6 +13,7 @@
 from spindle_decisions.serving.scatter_notes import ScatterNotes
 from spindle_decisions.serving.scatter_shard import Attempt, ScatterShard
 from spindle_decisions.serving.send import Send
+from spindle_decisions.serving.shard_timers import ShardTimers
 from spindle_decisions.serving.snapshot_choice import SnapshotChoice
 from spindle_decisions.serving.snapshot_id import SnapshotId
 from spindle_decisions.serving.upstream_board import UpstreamBoard
@@ -59,8 +59,7 @@
         self.attempts: dict[int, Attempt] = {}
         self.last_attempt = 0
         self.restarts = 0
-        self.timers: list[tuple[float, int, ScatterShard, AttemptKind]] = []
-        self.timer_seq = 0
+        self.timers = ShardTimers()
         self.started_at = 0.0
         self.done = False
         self.actions: list[Action] = []
@@ -68,9 +67,7 @@
     @property
     def wake_at(self) -> float:
         """When `timer` is due, in monotonic seconds."""
-        if self.timers:
-            return min(self.plan.deadline, self.timers[0][0])
-        return self.plan.deadline
+        return min(self.plan.deadline, self.timers.next_at)
 
     def take_actions(self) -> list[Action]:
         """Return the actions since the last call, in order."""
@@ -145,14 +142,10 @@
         if now >= self.plan.deadline:
             self._finish(QueryEnd.DEADLINE, now)
             return
-        while self.timers and self.timers[0][0] <= now and not self.done:
-            _, _, shard, kind = heapq.heappop(self.timers)
-            if shard.settled or self.shards.get(shard.service) is not shard:
-                continue
-            if kind is AttemptKind.HEDGE:
-                self._hedge(shard, now)
-            elif not shard.flying and not shard.waiting:
-                self._send_or_wait(shard, now)
+        while not self.done and (due := self.timers.take_due(now)):
+            shard, kind = due
+            if not shard.settled and self.shards.get(shard.service) is shard:
+                self._consider(shard, kind, now)
 
     def caller_gone(self, now: float) -> None:
         """End the query because nobody waits for it."""
@@ -269,11 +262,13 @@
     def _arm_hedge(self, shard: ScatterShard, now: float) -> None:
         after_s = self.board.policy.hedge_after_s(self.plan.group)
         if after_s is not None:
-            self._arm(now + after_s, shard, AttemptKind.HEDGE)
+            self.timers.arm(now + after_s, shard, AttemptKind.HEDGE)
 
-    def _arm(self, at: float, shard: ScatterShard, kind: AttemptKind) -> None:
-        self.timer_seq += 1
-        heapq.heappush(self.timers, (at, self.timer_seq, shard, kind))
+    def _consider(self, shard: ScatterShard, kind: AttemptKind, now: float) -> None:
+        if kind is AttemptKind.HEDGE:
+            self._hedge(shard, now)
+        elif not shard.flying and not shard.waiting:
+            self._send_or_wait(shard, now)
 
     def _hedge(self, shard: ScatterShard, now: float) -> None:
         """Send a hedge if a replica is free and the budget allows, else look again later.
@@ -291,9 +286,9 @@
         if state is not None and self.board.policy.may_hedge(patient):
             self.board.take(state)
             self._send(shard, state, AttemptKind.HEDGE, now)
-            self._arm(now + after_s, shard, AttemptKind.HEDGE)
+            self.timers.arm(now + after_s, shard, AttemptKind.HEDGE)
         else:
-            self._arm(now + HEDGE_LOOK_AGAIN * after_s, shard, AttemptKind.HEDGE)
+            self.timers.arm(now + HEDGE_LOOK_AGAIN * after_s, shard, AttemptKind.HEDGE)
 
     def _hedge_target(self, shard: ScatterShard, now: float) -> UpstreamState | None:
         if self.board.queued(shard.service):
@@ -321,7 +316,7 @@
             return
         shard.avoid.clear()
         if self.board.candidates(shard.service, snapshot, shard.avoid, now):
-            self._arm(now + RETRY_PAUSE_S * shard.sent, shard, AttemptKind.RETRY)
+            self.timers.arm(now + RETRY_PAUSE_S * shard.sent, shard, AttemptKind.RETRY)
             return
         self._no_replica(shard, now)
 
@@ -334,7 +329,7 @@
         choice = self._better_snapshot(now)
         if choice is None and shard.snapshot_gone and shard.looks < MAX_LOOKS:
             shard.looks += 1
-            self._arm(now + LOOK_PAUSE_S * shard.looks, shard, AttemptKind.RETRY)
+            self.timers.arm(now + LOOK_PAUSE_S * shard.looks, shard, AttemptKind.RETRY)
             return
         if choice is None:
             self._lose(shard, now)
