--- a/packages/decisions/src/spindle_decisions/serving/scatter.py
+++ b/packages/decisions/src/spindle_decisions/serving/scatter.py
@@ -321,12 +321,12 @@
         self._no_replica(shard, now)
 
     def _no_replica(self, shard: ScatterShard, now: float) -> None:
-        """No replica serves the pinned snapshot: start again on a newer one, or lose the shard.
+        """No replica serves the pinned snapshot: start again on another, or lose the shard.
 
         Where the snapshot has just gone, what the replicas hold instead is
-        asked of them meanwhile, so a newer one is looked for a few times.
+        asked of them meanwhile, so another is looked for a few times.
         """
-        choice = self._better_snapshot(now)
+        choice = self._another_snapshot(now)
         if choice is None and shard.snapshot_gone and shard.looks < MAX_LOOKS:
             shard.looks += 1
             self.timers.arm(now + LOOK_PAUSE_S * shard.looks, shard, AttemptKind.RETRY)
@@ -343,14 +343,14 @@
         self._pin(choice)
         self._begin(choice, AttemptKind.RESTART, now)
 
-    def _better_snapshot(self, now: float) -> SnapshotChoice | None:
-        if not self.plan.pinned or self.plan.only or self.restarts >= MAX_RESTARTS:
+    def _another_snapshot(self, now: float) -> SnapshotChoice | None:
+        if not self.plan.pinned or self.restarts >= MAX_RESTARTS:
             return None
         left_s = self.plan.deadline - now
         if left_s < RESTART_TIME_SHARE * (self.plan.deadline - self.started_at):
             return None
         choice = self._choose()
-        if choice is None or self.snapshot is None or choice.snapshot <= self.snapshot:
+        if choice is None or choice.snapshot == self.snapshot:
             return None
         return choice if choice.whole else None
 
