--- /dev/null
+++ b/bench/experiments/capacity/tree_trial.py
@@ -0,0 +1,120 @@
+"""A trial of the batched tree with real processes: one sender, several owners."""
+
+import pathlib
+import time
+
+import gevent
+import gevent.socket
+import msgspec
+import pynng
+from hdrh.histogram import HdrHistogram
+
+from bench.experiments.capacity.shapes import AnswerBatch, BatchedQuery, QueryBatch
+from bench.experiments.capacity.slope import US_PER_S
+from bench.experiments.figures import Figures
+from bench.ports import LOOPBACK, free_ports
+from bench.process import Process
+from bench.process_meter import process_use
+
+OWNERS = 4
+UPSTREAMS_PER_OWNER = 325
+WINDOW_S = 0.02
+QUERY_BYTES = 100
+HIGHEST_US = 60_000_000
+SETTLE_S = 1.5
+US_PER_MS = 1000
+
+
+class TreeTrial:
+    """Sends the queries of each batch window to every owner and merges what comes back."""
+
+    def __init__(self, folder: pathlib.Path, queries_per_window: int) -> None:
+        ports = free_ports(OWNERS + 1)
+        self.address = f"tcp://{LOOPBACK}:{ports[0]}"
+        self.targets = [f"tcp://{LOOPBACK}:{port}" for port in ports[1:]]
+        self.folder = folder
+        self.count = queries_per_window
+        self.inbox = pynng.Pull0(listen=self.address, recv_max_size=0)
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoder = msgspec.msgpack.Decoder(AnswerBatch)
+        self.times_us = HdrHistogram(1, HIGHEST_US, 3)
+        self.open: dict[int, tuple[float, int]] = {}
+
+    def run(self, seconds: float) -> Figures:
+        """Run the trial and return the costs per sub-request."""
+        owners = [self._start_owner(number) for number in range(OWNERS)]
+        try:
+            time.sleep(SETTLE_S)
+            return self._measure(owners, seconds)
+        finally:
+            for owner in owners:
+                owner.kill()
+            self.inbox.close()
+
+    def _measure(self, owners: list[Process], seconds: float) -> Figures:
+        links = [pynng.Push0(dial=target) for target in self.targets]
+        pids = [owner.child.pid for owner in owners if owner.child]
+        receiver = gevent.spawn(self._receive_forever)
+        before = sum(process_use(pid).cpu_s for pid in pids)
+        started, started_cpu = time.monotonic(), time.process_time()
+        windows = int(seconds / WINDOW_S)
+        for window in range(windows):
+            self._send_window(links, window)
+            due = started + (window + 1) * WINDOW_S
+            gevent.sleep(max(0.0, due - time.monotonic()))
+        gevent.sleep(WINDOW_S)
+        sender_s = time.process_time() - started_cpu
+        owner_s = sum(process_use(pid).cpu_s for pid in pids) - before
+        elapsed_s = time.monotonic() - started
+        receiver.kill()
+        done = self.times_us.get_total_count()
+        subrequests = max(1, done * OWNERS * UPSTREAMS_PER_OWNER)
+        for link in links:
+            link.close()
+        return {
+            "queries_per_window": self.count,
+            "queries_per_s": round(done / elapsed_s, 1),
+            "subrequests_per_s": round(subrequests / elapsed_s, 1),
+            "sender_us_per_subrequest": round(sender_s * US_PER_S / subrequests, 4),
+            "owner_us_per_subrequest": round(owner_s * US_PER_S / subrequests, 4),
+            "p99_ms": self.times_us.get_value_at_percentile(99) / US_PER_MS,
+            "unanswered": len(self.open),
+        }
+
+    def _send_window(self, links: list[pynng.Push0], window: int) -> None:
+        body = b"q" * QUERY_BYTES
+        first = window * self.count
+        queries = tuple(
+            BatchedQuery(number, "3.42", 250, body) for number in range(first, first + self.count)
+        )
+        now = time.monotonic()
+        for query in queries:
+            self.open[query.query_id] = (now, OWNERS)
+        data = self.encoder.encode(QueryBatch(self.address, queries))
+        for link in links:
+            link.send(data)
+
+    def _receive_forever(self) -> None:
+        while True:
+            try:
+                data = self.inbox.recv(block=False)
+            except pynng.TryAgain:
+                gevent.socket.wait_read(self.inbox.recv_fd)
+                continue
+            for answer in self.decoder.decode(data).answers:
+                self._take(answer.query_id)
+
+    def _take(self, query_id: int) -> None:
+        sent_at, missing = self.open.pop(query_id)
+        if missing > 1:
+            self.open[query_id] = (sent_at, missing - 1)
+            return
+        self.times_us.record_value(max(1, int((time.monotonic() - sent_at) * US_PER_S)))
+
+    def _start_owner(self, number: int) -> Process:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        arguments = ["--listen", self.targets[number], "--upstreams", str(UPSTREAMS_PER_OWNER)]
+        log = self.folder / f"owner-{number}.log"
+        process = Process(f"owner-{number}", "bench.owner_standin", arguments, log)
+        process.start()
+        return process
--- /dev/null
+++ b/bench/owner_standin.py
@@ -0,0 +1,77 @@
+"""A process that stands in for an owner instance in the trial of a batched tree."""
+
+import gevent.monkey
+
+gevent.monkey.patch_all()
+
+from typing import Annotated  # noqa: E402
+
+import gevent.socket  # noqa: E402
+import msgspec  # noqa: E402
+import pynng  # noqa: E402
+import typer  # noqa: E402
+
+from bench.experiments.capacity.shapes import (  # noqa: E402
+    AnswerBatch,
+    BatchedAnswer,
+    QueryBatch,
+)
+
+ROW_BYTES = 40
+
+
+class OwnerStandin:
+    """Answers batches of queries as an owner of some upstreams would.
+
+    For each query it decodes one sub-answer per owned upstream, as they would
+    arrive in the batched answers of the upstreams, and merges them.
+    """
+
+    def __init__(self, listen: str, upstreams: int) -> None:
+        self.inbox = pynng.Pull0(listen=listen, recv_max_size=0)
+        self.links: dict[str, pynng.Push0] = {}
+        self.encoder = msgspec.msgpack.Encoder()
+        self.batches = msgspec.msgpack.Decoder(QueryBatch)
+        self.answers = msgspec.msgpack.Decoder(BatchedAnswer)
+        row = self.encoder.encode(BatchedAnswer(7, 1, (), b"r" * ROW_BYTES))
+        self.sub_answers = (row,) * upstreams
+
+    def run_forever(self) -> None:
+        """Answer every batch."""
+        while True:
+            try:
+                data = self.inbox.recv(block=False)
+            except pynng.TryAgain:
+                gevent.socket.wait_read(self.inbox.recv_fd)
+                continue
+            batch = self.batches.decode(data)
+            answers = tuple(self.merge(query.query_id) for query in batch.queries)
+            reply = self.encoder.encode(AnswerBatch("owner", answers))
+            self._link(batch.sender).send(reply)
+
+    def merge(self, query_id: int) -> BatchedAnswer:
+        """Decode and merge the sub-answers of one query."""
+        rows = []
+        covered = 0
+        for data in self.sub_answers:
+            answer = self.answers.decode(data)
+            covered += answer.covered
+            rows.append(answer.rows)
+        return BatchedAnswer(query_id, covered, (), b"".join(rows))
+
+    def _link(self, address: str) -> pynng.Push0:
+        if address not in self.links:
+            self.links[address] = pynng.Push0(dial=address)
+        return self.links[address]
+
+
+def main(
+    listen: Annotated[str, typer.Option(help="tcp://IP:PORT")],
+    upstreams: Annotated[int, typer.Option(help="Upstreams that it owns.")],
+) -> None:
+    """Answer batches until killed."""
+    OwnerStandin(listen, upstreams).run_forever()
+
+
+if __name__ == "__main__":
+    typer.run(main)
