Share the operators' messages and the receive loop

The command line and the daemon each had their own types for the same answers, and three places the same loop around a non-blocking receive.

--- a/bench/experiments/capacity/tree_trial.py
+++ b/bench/experiments/capacity/tree_trial.py
@@ -4,7 +4,6 @@
 import time
 
 import gevent
-import gevent.socket
 import msgspec
 import pynng
 from hdrh.histogram import HdrHistogram
@@ -15,6 +14,7 @@
 from bench.ports import LOOPBACK, free_ports
 from bench.process import Process
 from bench.process_meter import process_use
+from spindle_daemon.mesh.receiver import receive_forever
 
 OWNERS = 4
 UPSTREAMS_PER_OWNER = 325
@@ -54,7 +54,7 @@
     def _measure(self, owners: list[Process], seconds: float) -> Figures:
         links = [pynng.Push0(dial=target) for target in self.targets]
         pids = [owner.child.pid for owner in owners if owner.child]
-        receiver = gevent.spawn(self._receive_forever)
+        receiver = gevent.spawn(receive_forever, self.inbox, self._receive)
         before = sum(process_use(pid).cpu_s for pid in pids)
         started, started_cpu = time.monotonic(), time.process_time()
         windows = int(seconds / WINDOW_S)
@@ -94,15 +94,9 @@
         for link in links:
             link.send(data)
 
-    def _receive_forever(self) -> None:
-        while True:
-            try:
-                data = self.inbox.recv(block=False)
-            except pynng.TryAgain:
-                gevent.socket.wait_read(self.inbox.recv_fd)
-                continue
-            for answer in self.decoder.decode(data).answers:
-                self._take(answer.query_id)
+    def _receive(self, data: bytes) -> None:
+        for answer in self.decoder.decode(data).answers:
+            self._take(answer.query_id)
 
     def _take(self, query_id: int) -> None:
         sent_at, missing = self.open.pop(query_id)
--- a/bench/owner_standin.py
+++ b/bench/owner_standin.py
@@ -6,7 +6,6 @@
 
 from typing import Annotated  # noqa: E402
 
-import gevent.socket  # noqa: E402
 import msgspec  # noqa: E402
 import pynng  # noqa: E402
 import typer  # noqa: E402
@@ -16,6 +15,7 @@
     BatchedAnswer,
     QueryBatch,
 )
+from spindle_daemon.mesh.receiver import receive_forever  # noqa: E402
 
 ROW_BYTES = 40
 
@@ -36,18 +36,12 @@
         row = self.encoder.encode(BatchedAnswer(7, 1, (), b"r" * ROW_BYTES))
         self.sub_answers = (row,) * upstreams
 
-    def run_forever(self) -> None:
-        """Answer every batch."""
-        while True:
-            try:
-                data = self.inbox.recv(block=False)
-            except pynng.TryAgain:
-                gevent.socket.wait_read(self.inbox.recv_fd)
-                continue
-            batch = self.batches.decode(data)
-            answers = tuple(self.merge(query.query_id) for query in batch.queries)
-            reply = self.encoder.encode(AnswerBatch("owner", answers))
-            self._link(batch.sender).send(reply)
+    def answer(self, data: bytes) -> None:
+        """Answer a batch."""
+        batch = self.batches.decode(data)
+        answers = tuple(self.merge(query.query_id) for query in batch.queries)
+        reply = self.encoder.encode(AnswerBatch("owner", answers))
+        self._link(batch.sender).send(reply)
 
     def merge(self, query_id: int) -> BatchedAnswer:
         """Decode and merge the sub-answers of one query."""
@@ -70,7 +64,8 @@
     upstreams: Annotated[int, typer.Option(help="Upstreams that it owns.")],
 ) -> None:
     """Answer batches until killed."""
-    OwnerStandin(listen, upstreams).run_forever()
+    owner = OwnerStandin(listen, upstreams)
+    receive_forever(owner.inbox, owner.answer)
 
 
 if __name__ == "__main__":
--- a/packages/cli/src/spindle_cli/commands/apply.py
+++ b/packages/cli/src/spindle_cli/commands/apply.py
@@ -7,9 +7,9 @@
 
 from spindle_cli import const
 from spindle_cli.commands.options import session_of
-from spindle_cli.models.checked_note import CheckedNote
 from spindle_cli.note_sender import NoteSender
 from spindle_cli.output import print_json
+from spindle_decisions.commands.note_applied import NoteApplied
 from spindle_decisions.exceptions import SettingsError
 
 NoteFile = Annotated[pathlib.Path, typer.Argument(help="The release note, an INI file.")]
@@ -41,7 +41,7 @@
     """Check a release note against the agreed state; nothing is changed."""
     session = session_of(ctx)
     text = read_note(note)
-    checked = session.api().ask_any("POST", const.PATH_CHECK, CheckedNote, text)
+    checked = session.api().ask_any("POST", const.PATH_CHECK, NoteApplied, text)
     if session.settings.as_json:
         print_json(checked)
         return
--- a/packages/cli/src/spindle_cli/commands/drain.py
+++ b/packages/cli/src/spindle_cli/commands/drain.py
@@ -10,12 +10,12 @@
 from spindle_cli import const
 from spindle_cli.commands.options import session_of
 from spindle_cli.drain_note import drain_note
-from spindle_cli.models.note_row import NoteRow
 from spindle_cli.note_sender import NoteSender
 from spindle_cli.operator_api import OperatorApi
 from spindle_cli.output import print_json
 from spindle_decisions.commands.note_applied import NoteApplied
 from spindle_decisions.exceptions import NoteConflictError, RemoteError, UnreachableError
+from spindle_decisions.operator.shown_note import ShownNote
 
 CODE_NUMBER_NOT_NEXT = "note-number-not-next"
 NUMBER_RACE = frozenset({NoteConflictError.code, CODE_NUMBER_NOT_NEXT})
@@ -72,5 +72,5 @@
 
 def next_number(api: OperatorApi) -> int:
     """Return the number after the highest that is taken."""
-    rows = api.ask_any("GET", const.PATH_NOTES, tuple[NoteRow, ...])
+    rows = api.ask_any("GET", const.PATH_NOTES, tuple[ShownNote, ...])
     return max((row.number for row in rows), default=0) + 1
--- a/packages/cli/src/spindle_cli/commands/repair.py
+++ b/packages/cli/src/spindle_cli/commands/repair.py
@@ -8,15 +8,15 @@
 from spindle_cli import const
 from spindle_cli.address import Address
 from spindle_cli.commands.options import session_of
-from spindle_cli.models.founding import Founding
-from spindle_cli.models.founding_member import FoundingMember
-from spindle_cli.models.identity_reply import IdentityReply
-from spindle_cli.models.member_row import MemberRow
-from spindle_cli.models.repair_reply import RepairReply
-from spindle_cli.models.repair_request import RepairRequest
 from spindle_cli.operator_api import OperatorApi
 from spindle_cli.output import print_json
+from spindle_decisions.consensus.member import Member
 from spindle_decisions.exceptions import BadRequestError, MembershipChangeError, UnreachableError
+from spindle_decisions.operator.founding import Founding
+from spindle_decisions.operator.founding_member import FoundingMember
+from spindle_decisions.operator.identity_reply import IdentityReply
+from spindle_decisions.operator.repair_reply import RepairReply
+from spindle_decisions.operator.repair_request import RepairRequest
 
 ACTION_EXPLAIN = "explain"
 ACTION_FORCE = "force-membership"
@@ -35,7 +35,7 @@
     body = msgspec.json.encode(founding)
     for address, identity in answers:
         if identity.blank:
-            api.ask(address, "POST", const.PATH_BOOTSTRAP, tuple[MemberRow, ...], body)
+            api.ask(address, "POST", const.PATH_BOOTSTRAP, tuple[Member, ...], body)
     if session.settings.as_json:
         print_json(founding)
         return
--- a/packages/cli/src/spindle_cli/commands/status.py
+++ b/packages/cli/src/spindle_cli/commands/status.py
@@ -5,13 +5,13 @@
 from spindle_cli import const
 from spindle_cli.answer import Answer
 from spindle_cli.commands.options import session_of
-from spindle_cli.models.identity_reply import IdentityReply
-from spindle_cli.models.member_row import MemberRow
-from spindle_cli.models.status_reply import StatusReply
 from spindle_cli.output import age_text, print_json
 from spindle_cli.processes import find_processes
 from spindle_cli.table import format_table
+from spindle_decisions.consensus.member import Member
 from spindle_decisions.exceptions import UnreachableError
+from spindle_decisions.operator.identity_reply import IdentityReply
+from spindle_decisions.operator.status_reply import StatusReply
 
 UNKNOWN = "-"
 
@@ -47,7 +47,7 @@
     """List the control instances that take part in the agreement."""
     session = session_of(ctx)
     api = session.api()
-    rows = api.ask_any("GET", const.PATH_MEMBERS, tuple[MemberRow, ...])
+    rows = api.ask_any("GET", const.PATH_MEMBERS, tuple[Member, ...])
     if session.settings.as_json:
         print_json(rows)
         return
@@ -122,7 +122,7 @@
     return format_table(("control", "role", "version", "term", "state"), rows)
 
 
-def _role(row: MemberRow, identity: IdentityReply | None) -> str:
+def _role(row: Member, identity: IdentityReply | None) -> str:
     if identity is None:
         return "no answer"
     if identity.folder_id != row.folder_id:
--- a/packages/cli/src/spindle_cli/processes.py
+++ b/packages/cli/src/spindle_cli/processes.py
@@ -5,17 +5,17 @@
 from spindle_cli import const
 from spindle_cli.address import Address
 from spindle_cli.answer import Answer
-from spindle_cli.models.instance_row import InstanceRow
 from spindle_cli.operator_api import OperatorApi
+from spindle_decisions.wire.live_instance import LiveInstance
 
 
 @dataclasses.dataclass(frozen=True)
 class Processes:
     """The processes that some control instance knows, and who could not be asked."""
 
-    instances: tuple[InstanceRow, ...]
+    instances: tuple[LiveInstance, ...]
     controls: tuple[Address, ...]
-    failed: tuple[Answer[tuple[InstanceRow, ...]], ...] = ()
+    failed: tuple[Answer[tuple[LiveInstance, ...]], ...] = ()
 
     @property
     def problems(self) -> tuple[str, ...]:
@@ -40,12 +40,12 @@
 
     Control instances that the others name are added to those given.
     """
-    answers = api.ask_all(api.required_controls(), const.PATH_INSTANCES, tuple[InstanceRow, ...])
-    instances: dict[tuple[str, int], InstanceRow] = {}
+    answers = api.ask_all(api.required_controls(), const.PATH_INSTANCES, tuple[LiveInstance, ...])
+    instances: dict[tuple[str, int], LiveInstance] = {}
     for answer in answers:
         for item in answer.value or ():
             instances[(item.instance, item.incarnation)] = item
-    newest: dict[str, InstanceRow] = {}
+    newest: dict[str, LiveInstance] = {}
     for item in sorted(instances.values(), key=lambda row: (row.instance, row.incarnation)):
         newest[item.instance] = item
     found = tuple(newest.values())
--- a/packages/cli/src/spindle_cli/summary_source.py
+++ b/packages/cli/src/spindle_cli/summary_source.py
@@ -5,12 +5,12 @@
 
 from spindle_cli import const
 from spindle_cli.address import Address
-from spindle_cli.models.member_row import MemberRow
 from spindle_cli.operator_api import OperatorApi
 from spindle_cli.processes import Processes
 from spindle_decisions.account.page_window import PageWindow
 from spindle_decisions.account.summaries_reply import SummariesReply
 from spindle_decisions.account.summary_set import SummarySet
+from spindle_decisions.consensus.member import Member
 from spindle_decisions.exceptions import SpindleError
 
 MS_PER_HOUR = 3_600_000
@@ -59,7 +59,7 @@
     def _name_unasked(self, answered: set[str], failed: dict[Address, str]) -> None:
         """Name the members of the agreement that none of the addresses led to."""
         try:
-            members = self.api.ask_any("GET", const.PATH_MEMBERS, tuple[MemberRow, ...])
+            members = self.api.ask_any("GET", const.PATH_MEMBERS, tuple[Member, ...])
         except SpindleError as err:
             self.problems.append(f"the list of control instances is missing: {err}")
             return
--- a/packages/daemon/src/spindle_daemon/components/control/operator_api.py
+++ b/packages/daemon/src/spindle_daemon/components/control/operator_api.py
@@ -9,8 +9,7 @@
 from spindle_daemon.components.control.const import NOTE_TIMEOUT_S
 from spindle_daemon.components.control.instance_registry import InstanceRegistry
 from spindle_daemon.components.control.raft_driver import RaftDriver
-from spindle_daemon.components.control.repair_desk import RepairDesk, RepairOrder
-from spindle_daemon.components.control.shown_note import shown_note
+from spindle_daemon.components.control.repair_desk import RepairDesk
 from spindle_daemon.components.control.status_view import build_status
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.json_response import JsonResponse, json_ok
@@ -21,6 +20,10 @@
 from spindle_decisions.consensus.membership_set import MembershipSet
 from spindle_decisions.exceptions import BadRequestError, NoteError
 from spindle_decisions.notes.parser import parse_note
+from spindle_decisions.operator.founding import Founding
+from spindle_decisions.operator.identity_reply import IdentityReply
+from spindle_decisions.operator.repair_request import RepairRequest
+from spindle_decisions.operator.shown_note import shown_note
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -29,33 +32,6 @@
 STATUS_UNPROCESSABLE = 422
 
 
-class IdentityView(msgspec.Struct, frozen=True):
-    """Who a control instance is in the agreement."""
-
-    name: str
-    folder_id: str
-    blank: bool
-    role: str
-    term: int
-    leader: str
-    commit_index: int
-    applied_index: int
-    membership: MembershipSet
-
-
-class FoundingMember(msgspec.Struct, frozen=True):
-    """A control instance with which a deployment begins."""
-
-    name: str
-    folder_id: str
-
-
-class Founding(msgspec.Struct, frozen=True):
-    """The body of a bootstrap request."""
-
-    members: tuple[FoundingMember, ...]
-
-
 class OperatorApi:
     """Answers operators from the agreed state, and puts their notes into the log."""
 
@@ -128,7 +104,7 @@
     def identity(self, _request: AdminRequest) -> JsonResponse:
         """Tell who this control instance is."""
         node = self.driver.node
-        view = IdentityView(
+        view = IdentityReply(
             name=self.spindle.settings.instance.name,
             folder_id=self.folder_id,
             blank=node.role.name == "BLANK",
@@ -157,10 +133,10 @@
     def repair(self, request: AdminRequest) -> JsonResponse:
         """Explain the agreement, or force a membership after a majority was lost."""
         try:
-            order = msgspec.json.decode(request.body, type=RepairOrder)
+            repair_request = msgspec.json.decode(request.body, type=RepairRequest)
         except msgspec.MsgspecError as err:
             raise BadRequestError(f"repair request is malformed: {err}") from err
-        return json_ok(self.desk.handle(order))
+        return json_ok(self.desk.handle(repair_request))
 
 
 def _note_response(result: NoteApplied | NoteRefused) -> JsonResponse:
--- a/packages/daemon/src/spindle_daemon/components/control/repair_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/control/repair_desk.py
@@ -2,34 +2,19 @@
 
 import math
 
-import msgspec
-
 from spindle_daemon.components.control.raft_driver import RaftDriver
 from spindle_daemon.core.clock import Clock
 from spindle_decisions.consensus.member import Member
 from spindle_decisions.consensus.membership_set import MembershipSet
 from spindle_decisions.consensus.role import Role
 from spindle_decisions.exceptions import BadRequestError
+from spindle_decisions.operator.repair_reply import RepairReply
+from spindle_decisions.operator.repair_request import RepairRequest
 
 ACTION_EXPLAIN = "explain"
 ACTION_FORCE = "force-membership"
 
 
-class RepairOrder(msgspec.Struct, frozen=True):
-    """What an operator asks for; `members` names those that remain."""
-
-    action: str
-    members: tuple[str, ...] = ()
-    reason: str = ""
-
-
-class RepairAnswer(msgspec.Struct, frozen=True):
-    """What was found, and what was done or is to be done, in sentences."""
-
-    steps: tuple[str, ...]
-    text: str
-
-
 class RepairDesk:
     """Answers repair requests at one control instance."""
 
@@ -37,14 +22,14 @@
         self.driver = driver
         self.clock = clock
 
-    def handle(self, order: RepairOrder) -> RepairAnswer:
+    def handle(self, request: RepairRequest) -> RepairReply:
         """Explain or force; raises `MembershipChangeError` when forcing would lose data."""
-        if order.action == ACTION_EXPLAIN:
-            return RepairAnswer(self.explain(), self.advice())
-        if order.action == ACTION_FORCE:
-            return self.force(order)
+        if request.action == ACTION_EXPLAIN:
+            return RepairReply(self.explain(), self.advice())
+        if request.action == ACTION_FORCE:
+            return self.force(request)
         raise BadRequestError(
-            f"action is {order.action!r}: allowed: {ACTION_EXPLAIN}, {ACTION_FORCE}"
+            f"action is {request.action!r}: allowed: {ACTION_EXPLAIN}, {ACTION_FORCE}"
         )
 
     def explain(self) -> tuple[str, ...]:
@@ -72,16 +57,16 @@
             "that is impossible, force the membership of those that remain"
         )
 
-    def force(self, order: RepairOrder) -> RepairAnswer:
+    def force(self, request: RepairRequest) -> RepairReply:
         """Impose the named members of the present membership as the only voters."""
         node = self.driver.node
-        if not order.reason:
+        if not request.reason:
             raise BadRequestError("a forced membership needs a reason")
-        kept = tuple(self._kept(name) for name in sorted(set(order.members)))
-        lost = [item.name for item in node.membership.members if item.name not in order.members]
-        node.force_membership(self.clock.now(), MembershipSet(kept), order.reason)
+        kept = tuple(self._kept(name) for name in sorted(set(request.members)))
+        lost = [item.name for item in node.membership.members if item.name not in request.members]
+        node.force_membership(self.clock.now(), MembershipSet(kept), request.reason)
         self.driver.pump()
-        return RepairAnswer(
+        return RepairReply(
             (
                 f"voters are now {', '.join(item.name for item in kept)}",
                 f"no longer members: {', '.join(lost) or 'nobody'}",
--- a/packages/daemon/src/spindle_daemon/components/control/status_view.py
+++ b/packages/daemon/src/spindle_daemon/components/control/status_view.py
@@ -1,46 +1,14 @@
 """The status of a deployment as a control instance sees it."""
 
-import msgspec
-
 from spindle_daemon.components.control.instance_registry import InstanceRegistry
 from spindle_daemon.components.control.raft_driver import RaftDriver
 from spindle_daemon.core.spindle import Spindle
+from spindle_decisions.operator.data_center_status import DataCenterStatus
+from spindle_decisions.operator.status_reply import StatusReply
 from spindle_decisions.wire.instance_report import InstanceReport
 
 
-class DataCenterStatus(msgspec.Struct, frozen=True):
-    """The entry instances of one data centre.
-
-    `version` is the lowest version that all of them confirmed; `unconfirmed`
-    names those that have not confirmed the newest one, `silent` those that
-    are suspected.
-    """
-
-    data_center: str
-    version: int
-    instances: int
-    in_force: bool
-    unconfirmed: tuple[str, ...]
-    silent: tuple[str, ...]
-    oldest_age_ms: int
-
-
-class Status(msgspec.Struct, frozen=True):
-    """The version that is accepted, and where it is in force."""
-
-    control: str
-    role: str
-    term: int
-    leader: str
-    stale: bool
-    quorum_age_ms: int
-    version: int
-    digest: str
-    applied_index: int
-    data_centers: tuple[DataCenterStatus, ...]
-
-
-def build_status(spindle: Spindle, driver: RaftDriver, registry: InstanceRegistry) -> Status:
+def build_status(spindle: Spindle, driver: RaftDriver, registry: InstanceRegistry) -> StatusReply:
     """Put the status together from the agreed state and the heartbeats heard."""
     now = spindle.clock.now()
     catalog = driver.state.catalog
@@ -48,7 +16,7 @@
     reports = registry.table.reports(now)
     names = {item.name for item in catalog.data_centers}
     names.update(report.live.data_center for report in reports)
-    return Status(
+    return StatusReply(
         control=spindle.settings.instance.name,
         role=node.role.name.lower(),
         term=node.term,
--- a/packages/daemon/src/spindle_daemon/mesh/transport.py
+++ b/packages/daemon/src/spindle_daemon/mesh/transport.py
@@ -5,11 +5,11 @@
 from typing import Any, TypeVar
 
 import gevent
-import gevent.socket
 import pynng
 
 from spindle_daemon.mesh import const
 from spindle_daemon.mesh.peer import Peer
+from spindle_daemon.mesh.receiver import receive_forever
 from spindle_decisions.exceptions import AuthError, FrameError
 from spindle_decisions.timeline.hybrid_clock import HybridClock
 from spindle_decisions.wire.frame import Frame
@@ -52,7 +52,7 @@
 
     def start(self) -> None:
         """Begin to deliver messages."""
-        self.greenlet = gevent.spawn(self._receive_forever)
+        self.greenlet = gevent.spawn(receive_forever, self.inbox, self._receive)
 
     def handle(self, kind: type[MessageT], handler: Callable[[str, MessageT], None]) -> None:
         """Register the one handler of a message type; it gets the sender's name."""
@@ -91,17 +91,6 @@
             self.forget(next(iter(self.peers)))
         return peer
 
-    def _receive_forever(self) -> None:
-        while True:
-            try:
-                data = self.inbox.recv(block=False)
-            except pynng.TryAgain:
-                gevent.socket.wait_read(self.inbox.recv_fd)
-                continue
-            except pynng.Closed:
-                return
-            self._receive(data)
-
     def _receive(self, data: bytes) -> None:
         try:
             frame = self.codec.decode(data)
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/operator/__init__.py
@@ -0,0 +1,1 @@
+"""What operators ask control instances, and what they answer."""
--- a/packages/cli/src/spindle_cli/models/founding.py
+++ b/packages/decisions/src/spindle_decisions/operator/founding.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from spindle_cli.models.founding_member import FoundingMember
+from spindle_decisions.operator.founding_member import FoundingMember
 
 
 class Founding(msgspec.Struct, frozen=True):
--- a/packages/cli/src/spindle_cli/models/identity_reply.py
+++ b/packages/decisions/src/spindle_decisions/operator/identity_reply.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from spindle_cli.models.membership_view import MembershipView
+from spindle_decisions.consensus.membership_set import MembershipSet
 
 
 class IdentityReply(msgspec.Struct, frozen=True):
@@ -11,7 +11,9 @@
     name: str
     folder_id: str
     blank: bool
-    role: str = ""
-    term: int = 0
-    leader: str = ""
-    membership: MembershipView = MembershipView()
+    role: str
+    term: int
+    leader: str
+    commit_index: int
+    applied_index: int
+    membership: MembershipSet
--- a/packages/daemon/src/spindle_daemon/components/control/shown_note.py
+++ b/packages/decisions/src/spindle_decisions/operator/shown_note.py
@@ -8,7 +8,7 @@
 class ShownNote(NoteRecord, frozen=True):
     """The record of a note with its text, which is empty once it is no longer kept."""
 
-    text: str
+    text: str = ""
 
 
 def shown_note(record: NoteRecord, text: str) -> ShownNote:
--- a/packages/cli/src/spindle_cli/models/status_reply.py
+++ b/packages/decisions/src/spindle_decisions/operator/status_reply.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from spindle_cli.models.data_center_status import DataCenterStatus
+from spindle_decisions.operator.data_center_status import DataCenterStatus
 
 
 class StatusReply(msgspec.Struct, frozen=True):
@@ -16,4 +16,5 @@
     quorum_age_ms: int
     version: int
     digest: str
-    data_centers: tuple[DataCenterStatus, ...] = ()
+    applied_index: int
+    data_centers: tuple[DataCenterStatus, ...]
--- a/tests/cli/test_bootstrap.py
+++ b/tests/cli/test_bootstrap.py
@@ -13,6 +13,8 @@
         rows = [{"name": name, "folder_id": folder, "voter": True} for name, folder in members]
         folder = control.name.replace("control", "f")
         value = {"name": control.name, "folder_id": folder, "blank": not members}
+        value |= {"role": "follower", "term": 1, "leader": "", "commit_index": 1}
+        value["applied_index"] = 1
         value["membership"] = {"members": rows}
         control.on("GET /v1/identity", lambda _body, _query: value)
         control.on(BOOTSTRAP, lambda _body, _query: [])
--- a/tests/cli/test_notes.py
+++ b/tests/cli/test_notes.py
@@ -7,6 +7,7 @@
 from nose2.tools import params
 
 from spindle_cli.drain_note import drain_note
+from spindle_decisions.operator.shown_note import ShownNote
 from tests.cli.common import CliTestCase, Lost, Refusal
 
 APPLIED = {
@@ -21,6 +22,10 @@
 NOBODY = "127.0.0.1:1"
 
 
+def applied(number: int) -> ShownNote:
+    return ShownNote(number, f"id-{number}", "yann", "d", number, "c", 0, number)
+
+
 def raising(error: Exception) -> object:
     def handler(_body: bytes, _query: str) -> object:
         raise error
@@ -94,7 +99,7 @@
         super().setUp()
         self.taken = 4
         self.first.on(
-            "GET /v1/notes", lambda _body, _query: [{"number": n + 1} for n in range(self.taken)]
+            "GET /v1/notes", lambda _body, _query: [applied(n + 1) for n in range(self.taken)]
         )
 
     def numbers(self) -> list[int]:
--- a/tests/cli/test_views.py
+++ b/tests/cli/test_views.py
@@ -157,8 +157,9 @@
 class TestStatus(CliTestCase):
     def test_a_stale_control_instance_is_not_gone_by(self) -> None:
         center = {"data_center": "rennes-a", "version": 3, "instances": 2, "in_force": False}
-        center["unconfirmed"] = ["entry-b"]
+        center |= {"unconfirmed": ["entry-b"], "silent": [], "oldest_age_ms": 0}
         base = {"role": "leader", "term": 2, "leader": "x", "digest": "d", "quorum_age_ms": 0}
+        base["applied_index"] = 9
         for control, version, stale in ((self.first, 4, False), (self.second, 9, True)):
             value = {**base, "control": control.name, "version": version, "stale": stale}
             value["data_centers"] = [center]
