--- a/tests/daemon/serving/test_query.py
+++ b/tests/daemon/serving/test_query.py
@@ -74,7 +74,7 @@
 
     def test_swapped_answers_reach_nobody(self) -> None:
         with bench(services=1) as it:
-            change(it, GROUP, swap_next=1)
+            change(it, GROUP, swap_next=2)
             asked = [
                 gevent.spawn(
                     it.tier.post, f"/v1/groups/{GROUP}/query", b'{"query":{"who":%d}}' % number
@@ -192,13 +192,21 @@
 
 
 class TestDrain(unittest.TestCase):
-    @params("catalog", "upstream")
+    @params("catalog", "status", "header of an answer")
     def test_no_new_work(self, source: str) -> None:
         with bench(services=1, median_ms=5.0) as it:
             name = f"{GROUP}-01-a"
             upstream = it.served[name].upstream
-            if source == "upstream":
+            if source == "status":
                 change(it, name, draining=True)
+            elif source == "header of an answer":
+                it.tier.coordinator.prober.stop()
+                change(it, GROUP, median_ms=150.0)
+                flying = [gevent.spawn(it.tier.query) for _ in range(4)]
+                wait_until(self, lambda: upstream.counters.executed > 0)
+                change(it, GROUP, median_ms=5.0)
+                change(it, name, draining=True)
+                gevent.joinall(flying)
             else:
                 upstreams = tuple(
                     item if item.name != name else _drained(item) for item in it.catalog.upstreams
