--- a/packages/daemon/src/spindle_daemon/settings/const.py
+++ b/packages/daemon/src/spindle_daemon/settings/const.py
@@ -8,6 +8,7 @@
 SECTION_CONTROL = "control"
 SECTION_CONTROLS = "controls"
 SECTION_PEERS = "peers"
+SECTION_PLATFORM = "platform"
 
 CONF_NAME = "name"
 CONF_DATA_CENTER = "data-center"
@@ -37,6 +38,7 @@
 CONF_LEASE_MS = "lease-ms"
 CONF_SNAPSHOT_EVERY = "snapshot-every"
 CONF_GROUP_COMMIT = "group-commit"
+CONF_LIST_FILE = "list-file"
 
 DEFAULT_LOG_LEVEL = "info"
 DEFAULT_MAX_BODY_BYTES = 64 * 1024
--- a/packages/daemon/src/spindle_daemon/settings/loader.py
+++ b/packages/daemon/src/spindle_daemon/settings/loader.py
@@ -25,6 +25,7 @@
     const.SECTION_CONTROL,
     const.SECTION_CONTROLS,
     const.SECTION_PEERS,
+    const.SECTION_PLATFORM,
 )
 MAX_CONTROLS = 7
 
@@ -52,6 +53,7 @@
         admin=admin[const.CONF_LISTEN],
         controls=_controls(parser),
         peers=_addresses(parser, const.SECTION_PEERS),
+        platform_list=_platform_list(parser),
         serving=_serving(_section(parser, const.SECTION_SERVING, schema.SERVING_SCHEMA)),
         entry=_entry(parser, instance),
         control=_control(parser, instance),
@@ -162,6 +164,12 @@
     return controls
 
 
+def _platform_list(parser: configparser.ConfigParser) -> pathlib.Path | None:
+    values = _section(parser, const.SECTION_PLATFORM, schema.PLATFORM_SCHEMA)
+    text = values.get(const.CONF_LIST_FILE)
+    return pathlib.Path(text) if text else None
+
+
 def _addresses(parser: configparser.ConfigParser, section: str) -> tuple[InstanceAddress, ...]:
     values = _section(parser, section, schema.ADDRESSES_SCHEMA)
     return tuple(InstanceAddress(key, values[key]) for key in sorted(values))
--- a/packages/daemon/src/spindle_daemon/settings/schema.py
+++ b/packages/daemon/src/spindle_daemon/settings/schema.py
@@ -143,4 +143,5 @@
         **_switch_on(const.CONF_GROUP_COMMIT),
     }
 )
+PLATFORM_SCHEMA = vol.Schema({vol.Optional(const.CONF_LIST_FILE): str})
 ADDRESSES_SCHEMA = vol.Schema({name: mesh_address})
--- a/packages/daemon/src/spindle_daemon/settings/settings.py
+++ b/packages/daemon/src/spindle_daemon/settings/settings.py
@@ -1,6 +1,7 @@
 """All settings of one process."""
 
 import dataclasses
+import pathlib
 
 from spindle_daemon.settings.control_settings import ControlSettings
 from spindle_daemon.settings.endpoint import Endpoint
@@ -17,6 +18,7 @@
 
     `entry` is present for the role `entry`, `control` for the role `control`.
     `peers` are other entry instances to ask for the catalog after a start.
+    `platform_list` is the file in which the platform lists leaving upstreams.
     """
 
     instance: InstanceSettings
@@ -27,3 +29,4 @@
     entry: EntrySettings | None
     control: ControlSettings | None
     peers: tuple[InstanceAddress, ...] = ()
+    platform_list: pathlib.Path | None = None
--- /dev/null
+++ b/tests/daemon/platform_list/test_reader.py
@@ -0,0 +1,43 @@
+"""Tests of reading the platform's list."""
+
+import pathlib
+import tempfile
+import unittest
+
+from nose2.tools import params
+
+from spindle_daemon.components.platform_list.const import MAX_LIST_BYTES
+from spindle_daemon.components.platform_list.coordinator import PlatformListReader
+from spindle_daemon.core.event_bus import EventBus
+from spindle_daemon.core.upstreams_listed import UpstreamsListed
+
+
+class TestPlatformListReader(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "list.json"
+        self.heard: list[UpstreamsListed] = []
+        bus = EventBus()
+        bus.listen(UpstreamsListed, self.heard.append)
+        self.reader = PlatformListReader(self.path, bus)
+
+    def test_change_is_told_once(self) -> None:
+        self.path.write_text('{"live": ["a"], "leaving": ["b"]}')
+        self.reader.read()
+        self.reader.read()
+        self.assertEqual(self.heard, [UpstreamsListed(frozenset({"b"}))])
+        self.path.write_text('{"leaving": []}')
+        self.reader.read()
+        self.assertEqual(self.heard[1:], [UpstreamsListed(frozenset())])
+
+    @params(None, "", "{", '{"leaving": 3}', "[]", " " * (MAX_LIST_BYTES + 1))
+    def test_broken_list_keeps_what_was_read(self, text: str | None) -> None:
+        self.path.write_text('{"leaving": ["b"]}')
+        self.reader.read()
+        self.path.unlink()
+        if text is not None:
+            self.path.write_text(text)
+        self.reader.read()
+        self.assertEqual(len(self.heard), 1)
+        self.assertTrue(self.reader.broken)
