Prove the promises of serving through real processes

Cause: answers, refusals and at-most-once dispatch had no proof through real processes. Each test causes the failure it is meant for, behind stand-ins that record every execution and behind the fault proxy.

Red, a real fault: without a majority a claim ends as outcome-unknown instead of not-run, always. proposal_client.py:52 takes a try without answer as uncertain, and target() goes on to control instances that are dead or cut off, whose link queues the frame, after the reachable one has declined. Nothing ran in any case. Weighed and not mended here: telling not-run for a claim that may be agreed late, as its attempt is never dispatched.

--- /dev/null
+++ b/tests/integration/serving_case.py
@@ -0,0 +1,154 @@
+"""Fixtures of the proofs of the serving path with real processes."""
+
+import dataclasses
+import pathlib
+import random
+import tempfile
+import time
+from collections.abc import Callable, Iterable
+
+import gevent
+import msgspec
+from bench.experiments.serving.serving_deployment import ServingDeployment
+from bench.files import render_ini
+from bench.http_exchange import exchange
+from bench.load.request_id import create_request_id
+from bench.load.run_caller import RunCaller
+from bench.plan import DeploymentPlan, UpstreamPlan
+from bench.ports import LOOPBACK, free_ports
+from bench.process import Process
+
+from spindle_devkit.endpoint import Endpoint
+from spindle_devkit.proxy.const import PATH_LINKS
+from spindle_devkit.upstream.execution import Execution
+from tests.integration.common import DeploymentCase
+
+MS_PER_S = 1000
+MARK = "mark"
+HOUR_MS = 3_600_000
+POLL_S = 0.02
+
+
+class ServingCase(DeploymentCase):
+    """A test whose stand-in upstreams tell what they ran."""
+
+    deployment: ServingDeployment
+
+    def start(
+        self, plan: DeploymentPlan, later: tuple[UpstreamPlan, ...] = ()
+    ) -> ServingDeployment:
+        """Start a deployment and wait until it serves; no note names what comes `later`."""
+        self.deployment = self._prepare(plan, later)
+        self.deployment.start()
+        return self.deployment
+
+    def start_behind_proxy(self, plan: DeploymentPlan) -> "UpstreamLinks":
+        """Start a deployment whose entries reach upstreams through a fault proxy."""
+        self.deployment = self._prepare(plan)
+        links = UpstreamLinks(self.deployment)
+        links.start()
+        self.deployment.start()
+        return links
+
+    def runner(self, entry: int, group: str, deadline_ms: int = 2_000) -> RunCaller:
+        """Return a caller that sends non-idempotent requests to an entry instance."""
+        return run_caller(self.deployment, entry, group, deadline_ms)
+
+    def started(self, mark: str) -> list[Execution]:
+        """Return the executions of a request that got a slot at an upstream."""
+        return [item for item in self.deployment.executions() if ran(item) and has(item, mark)]
+
+    def wait_started(self, mark: str) -> None:
+        """Wait until an upstream runs a request."""
+        self.wait_green(lambda: bool(self.started(mark)), f"{mark} to run")
+
+    def wait_green(self, holds: Callable[[], bool], what: str, timeout_s: float = 20.0) -> None:
+        """Wait without stopping the loop of the test."""
+        with gevent.Timeout(timeout_s, TimeoutError(what)):
+            while not holds():
+                gevent.sleep(POLL_S)
+
+    def _prepare(
+        self, plan: DeploymentPlan, later: tuple[UpstreamPlan, ...] = ()
+    ) -> ServingDeployment:
+        folder = tempfile.TemporaryDirectory(prefix="spindle-test-")
+        self.addCleanup(folder.cleanup)
+        deployment = ServingDeployment(plan, pathlib.Path(folder.name), later)
+        self.addCleanup(deployment.kill_all)
+        return deployment
+
+
+class UpstreamLinks:
+    """One proxy process in front of every upstream of a deployment."""
+
+    def __init__(self, deployment: ServingDeployment) -> None:
+        plan = deployment.plan
+        self.deployment = deployment
+        *ports, self.admin_port = free_ports(len(plan.upstreams) + 1)
+        self.near = dict(zip((item.name for item in plan.upstreams), ports, strict=True))
+        moved = [dataclasses.replace(item, port=self.near[item.name]) for item in plan.upstreams]
+        deployment.plan = dataclasses.replace(plan, upstreams=tuple(moved))
+
+    def start(self) -> None:
+        """Start the proxy process."""
+        sections = {"proxy": {"listen": f"{LOOPBACK}:{self.admin_port}"}}
+        for item in self.deployment.upstreams:
+            sections[f"link {item.name}"] = {
+                "listen": f"{LOOPBACK}:{self.near[item.name]}",
+                "target": f"{LOOPBACK}:{item.port}",
+            }
+        folder = self.deployment.folder
+        path = folder / "upstream-proxy.ini"
+        path.write_text(render_ini(sections))
+        arguments = ["--config", str(path)]
+        log = folder / "upstream-proxy.log"
+        process = Process("upstream-proxy", "spindle_devkit.proxy", arguments, log)
+        process.start()
+        self.deployment.processes["upstream-proxy"] = process
+        self.deployment.wait_until(lambda: self.change() or True, "the upstream proxy")
+
+    def change(self, link: str = "", **faults: object) -> None:
+        """Change one link, or all of them when none is named."""
+        body = msgspec.json.encode({"link": link, **faults})
+        done = exchange(self.admin_port, "POST", PATH_LINKS, body)
+        if done.status != 200:
+            raise RuntimeError(f"fault proxy answered {done.status}: {done.data!r}")
+
+
+class IdSource:
+    """Ids of callers, drawn from a seed."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+
+    def next(self, age_ms: int = 0) -> str:
+        """Return an id that was made some time ago."""
+        return create_request_id(int(time.time() * MS_PER_S) - age_ms, self.rng)
+
+
+def run_caller(
+    deployment: ServingDeployment, entry: int, group: str, deadline_ms: int
+) -> RunCaller:
+    """Return a caller that sends non-idempotent requests to an entry instance."""
+    port = deployment.plan.entries[entry].entry_port
+    return RunCaller(Endpoint(LOOPBACK, port), group, deadline_ms)
+
+
+def has(execution: Execution, mark: str) -> bool:
+    """Tell whether an execution is of the request with this mark."""
+    return mark_of(execution) == mark
+
+
+def mark_of(execution: Execution) -> str:
+    """Return the mark of the request that was run."""
+    return msgspec.json.decode(execution.asked, type=dict[str, str]).get(MARK, "")
+
+
+def ran(execution: Execution) -> bool:
+    """Tell whether an upstream began to run the request."""
+    return execution.started_ms > 0
+
+
+def run_marks(executions: Iterable[Execution]) -> list[str]:
+    """Return the mark of every execution that began, repeats included."""
+    return [mark_of(item) for item in executions if ran(item)]
--- /dev/null
+++ b/tests/integration/test_at_most_once.py
@@ -0,0 +1,215 @@
+"""A non-idempotent request runs at most once, whoever dies and wherever it is sent again."""
+
+import gevent
+import msgspec
+from bench.fault_links import FaultLinks, proxied
+from bench.load.run_answer import RunAnswer
+from bench.plan import DeploymentPlan, GroupPlan
+from bench.plan_builder import build_plan
+
+from spindle_devkit.upstream.behavior_change import BehaviorChange
+from tests.integration.serving_case import HOUR_MS, IdSource, ServingCase, run_marks
+
+GROUP = "reservations"
+SERVICES = 1
+SLOW_MS = 700.0
+QUICK_MS = 10.0
+RUNS = 12
+KEY = "salle-12"
+OK = 200
+LOST = 0
+
+
+def plan_of(controls: int, entries: int = 2) -> DeploymentPlan:
+    """Return a deployment whose upstreams take requests."""
+    group = GroupPlan(GROUP, SERVICES, 2, kind="request", settings=(("median-ms", "10"),))
+    return build_plan((group,), controls=controls, entries=entries)
+
+
+class RunCase(ServingCase):
+    def setUp(self) -> None:
+        self.ids = IdSource()
+
+    def send(self, entry: int, request_id: str, mark: str, deadline_ms: int = 2_000) -> RunAnswer:
+        """Send a request to an entry instance on a connection of its own."""
+        caller = self.runner(entry, GROUP, deadline_ms)
+        try:
+            return caller.run(request_id, KEY, {"mark": mark})
+        finally:
+            caller.client.close()
+
+    def slow(self, median_ms: float = SLOW_MS) -> None:
+        """Make every run take a while."""
+        self.deployment.change(BehaviorChange(median_ms=median_ms))
+
+    def recorded(self, entry: int, request_id: str, mark: str) -> RunAnswer:
+        """Send again until the outcome is told; return the answer."""
+        answers: list[RunAnswer] = []
+
+        def told() -> bool:
+            answers.append(self.send(entry, request_id, mark))
+            return answers[-1].status == OK
+
+        self.wait_green(told, f"the outcome of {mark}; the last of {answers}")
+        return answers[-1]
+
+    def check_runs(self, mark: str, count: int) -> None:
+        """Check how often the upstreams ran a request."""
+        self.assertEqual(len(self.started(mark)), count, mark)
+
+
+class TestRacesAndResends(RunCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.start(plan_of(controls=1))
+
+    def test_same_id_at_two_entries_at_once(self) -> None:
+        for number in range(RUNS):
+            mark, request_id = f"race-{number}", self.ids.next()
+            sent = [gevent.spawn(self.send, entry, request_id, mark) for entry in (0, 1)]
+            answers = [item.get() for item in sent]
+            codes = sorted(answer.code for answer in answers)
+            self.assertIn("", codes, answers)
+            self.assertLessEqual(set(codes), {"", "outcome-unknown"}, answers)
+            first = next(answer for answer in answers if answer.status == OK)
+            for entry in (0, 1):
+                again = self.recorded(entry, request_id, mark)
+                self.assertEqual(outcome(again), outcome(first))
+            self.check_runs(mark, 1)
+
+    def test_caller_goes_away_and_sends_again(self) -> None:
+        self.slow()
+        mark, request_id = "gone", self.ids.next()
+        lost = gevent.spawn(self.send, 0, request_id, mark)
+        self.wait_started(mark)
+        lost.kill()
+        held = self.send(1, request_id, mark)
+        self.assertEqual(held.code, "outcome-unknown")
+        self.recorded(1, request_id, mark)
+        self.check_runs(mark, 1)
+
+    def test_deadline_passes_while_it_runs(self) -> None:
+        self.slow()
+        mark, request_id = "late", self.ids.next()
+        answer = self.send(0, request_id, mark, deadline_ms=300)
+        self.assertEqual(answer.code, "outcome-unknown")
+        self.recorded(1, request_id, mark)
+        self.check_runs(mark, 1)
+
+    def test_same_id_for_another_request(self) -> None:
+        request_id = self.ids.next()
+        self.assertEqual(self.send(0, request_id, "first").status, OK)
+        self.assertEqual(self.send(1, request_id, "second").code, "bad-request")
+        self.check_runs("second", 0)
+
+    def test_old_id_is_refused(self) -> None:
+        answer = self.send(0, self.ids.next(age_ms=25 * HOUR_MS), "old")
+        self.assertEqual(answer.code, "id-expired")
+        self.check_runs("old", 0)
+
+    def test_entry_killed_while_the_upstream_runs_it(self) -> None:
+        self.slow()
+        mark, request_id = "killed", self.ids.next()
+        lost = gevent.spawn(self.send, 0, request_id, mark)
+        self.wait_started(mark)
+        self.deployment.processes["entry-1"].kill()
+        self.assertEqual(lost.get().status, LOST)
+        for _ in range(3):
+            self.assertEqual(self.send(1, request_id, mark).code, "outcome-unknown")
+        self.deployment.start_instance("entry-1")
+        self.deployment.wait_ready("entry-1")
+        self.assertEqual(self.send(0, request_id, mark).code, "outcome-unknown")
+        self.check_runs(mark, 1)
+
+
+class TestCuts(RunCase):
+    links: FaultLinks
+
+    def setUp(self) -> None:
+        super().setUp()
+        plan, self.links = proxied(plan_of(controls=3, entries=3))
+        self.deployment = self._prepare(plan)
+        self.links.start(self.deployment)
+        self.deployment.start()
+
+    def test_entry_dies_between_answer_and_record(self) -> None:
+        self.slow()
+        mark, request_id = "unrecorded", self.ids.next()
+        sent = gevent.spawn(self.send, 0, request_id, mark)
+        self.wait_started(mark)
+        self.links.split(frozenset({"entry-1"}))
+        self.assertEqual(sent.get().status, OK)
+        self.deployment.processes["entry-1"].kill()
+        self.assertEqual(self.send(1, request_id, mark).code, "outcome-unknown")
+        self.check_runs(mark, 1)
+
+    def test_data_center_cut_off(self) -> None:
+        self.links.split(frozenset({"control-1", "entry-1"}))
+        self._wait_without_majority("control-1")
+        mark, request_id = "cut", self.ids.next()
+        refused = self.send(0, request_id, mark)
+        self.assertEqual(refused.code, "not-run")
+        self.check_runs(mark, 0)
+        first = self.recorded(1, request_id, mark)
+        self.links.heal()
+        again = self.recorded(0, request_id, mark)
+        self.assertEqual(outcome(again), outcome(first))
+        self.check_runs(mark, 1)
+
+    def test_run_elsewhere_during_the_cut_is_not_denied(self) -> None:
+        self.links.split(frozenset({"control-1", "entry-1"}))
+        mark, request_id = "elsewhere", self.ids.next()
+        first = self.recorded(1, request_id, mark)
+        self._wait_without_majority("control-1")
+        self.assertEqual(self.send(0, request_id, mark).code, "outcome-unknown")
+        self.links.heal()
+        again = self.recorded(0, request_id, mark)
+        self.assertEqual(outcome(again), outcome(first))
+        self.check_runs(mark, 1)
+
+    def test_run_before_the_cut_is_not_denied(self) -> None:
+        self.slow()
+        mark, request_id = "before", self.ids.next()
+        sent = gevent.spawn(self.send, 0, request_id, mark)
+        self.wait_started(mark)
+        self.links.split(frozenset({"control-1", "entry-1"}))
+        self.assertEqual(sent.get().status, OK)
+        self._wait_without_majority("control-1")
+        self.assertEqual(self.send(0, request_id, mark).code, "outcome-unknown")
+        self.links.heal()
+        self.recorded(1, request_id, mark)
+        self.check_runs(mark, 1)
+
+    def test_majority_lost_and_back(self) -> None:
+        leader = self.deployment.leader()
+        dead = [item.name for item in self.deployment.plan.controls if item.name != leader]
+        for name in dead:
+            self.deployment.processes[name].kill()
+        ids = [self.ids.next() for _ in range(4)]
+        early = self.send(0, ids[0], "lost-0", deadline_ms=800)
+        self._wait_without_majority(leader)
+        late = [
+            self.send(number % 3, ids[number], f"lost-{number}", deadline_ms=800)
+            for number in (1, 2, 3)
+        ]
+        self.assertIn(early.code, {"not-run", "outcome-unknown"})
+        self.assertEqual([answer.code for answer in late], ["not-run"] * 3)
+        marks = run_marks(self.deployment.executions())
+        self.assertEqual(marks, [], "no majority, nothing runs")
+        for name in dead:
+            self.deployment.start_instance(name)
+        for number, request_id in enumerate(ids):
+            self.recorded(number % 3, request_id, f"lost-{number}")
+            self.check_runs(f"lost-{number}", 1)
+
+    def _wait_without_majority(self, control: str) -> None:
+        def stale() -> bool | None:
+            body = self.deployment.operator(control).get("/v1/status").body
+            return True if body["stale"] else None
+
+        self.deployment.wait_until(stale, f"{control} to be stale")
+
+
+def outcome(answer: RunAnswer) -> object:
+    """Return what an answer says that was done."""
+    return msgspec.json.decode(answer.body)["outcome"]
--- /dev/null
+++ b/tests/integration/test_serving_own_answer.py
@@ -0,0 +1,62 @@
+"""Each caller gets its own answer, whatever upstreams send and in which order."""
+
+import gevent
+from bench.load.generator import offer_load
+from bench.load.load_settings import LoadSettings
+from bench.load.outcome import Outcome
+from bench.plan import GroupPlan
+from bench.plan_builder import build_plan
+from nose2.tools import params
+
+from spindle_devkit.upstream.behavior_change import BehaviorChange
+from tests.integration.serving_case import ServingCase
+
+GROUP = "comptoir"
+SERVICES = {"1": frozenset({"comptoir-01", "comptoir-02"})}
+RATE_PER_S = 80.0
+DURATION_S = 3.0
+PERIOD_S = 0.2
+DEADLINE_MS = 600
+
+SWAPPED = BehaviorChange(swap_next=2)
+FOREIGN_IDS = BehaviorChange(wrong_id_next=2)
+TRUNCATED = BehaviorChange(truncate_next=2)
+LATE = BehaviorChange(late_next=2, late_s=0.5)
+RESET = BehaviorChange(reset_connections=True)
+
+
+class TestOwnAnswer(ServingCase):
+    def _start(self) -> None:
+        settings = (("median-ms", "10"), ("sigma", "0.5"), ("rows", "3"))
+        self.start(
+            build_plan(
+                (GroupPlan(GROUP, 2, 2, settings=settings),),
+                entries=2,
+                data_centers=("rennes-a",),
+                serving_settings=(("shares", "off"),),
+            )
+        )
+
+    def _spoil(self, changes: tuple[BehaviorChange, ...]) -> None:
+        number = 0
+        while True:
+            self.deployment.change(changes[number % len(changes)])
+            number += 1
+            gevent.sleep(PERIOD_S)
+
+    @params((SWAPPED, FOREIGN_IDS), (TRUNCATED, LATE, RESET))
+    def test_no_foreign_or_repeated_rows(self, *changes: BehaviorChange) -> None:
+        self._start()
+        spoiling = gevent.spawn(self._spoil, changes)
+        endpoints = self.deployment.entry_endpoints()
+        run = offer_load(
+            LoadSettings(GROUP, endpoints, RATE_PER_S, DURATION_S, deadline_ms=DEADLINE_MS),
+            SERVICES,
+        )
+        spoiling.kill()
+        self.assertTrue(spoiling.successful(), spoiling.exception)
+        self.assertEqual([item for item in run.records if item.wrong], [])
+        answered = sum(item.outcome is Outcome.ANSWERED for item in run.records)
+        self.assertGreater(answered, len(run.records) // 2)
+        failed = [item for item in run.records if item.outcome is Outcome.FAILED]
+        self.assertEqual(failed, [], "every caller gets an answer or a coded refusal")
