Heed the platform's list, count probes, settle in the own data centre

An entry now takes the control instance of its own data centre when it turns ready, so that the isolated one always has an entry, and the test asks that entry's time line.

--- a/packages/daemon/src/spindle_daemon/components/control_link/control_choice.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/control_choice.py
@@ -54,6 +54,12 @@
         view = self.views[self.current.name]
         return view.stale or self._silent(now, view)
 
+    def settle(self, now: float) -> None:
+        """Go to the own data centre at the start, when its control instance is fresh."""
+        near = self.near_other()
+        if near is not None and self._steady(now, self.views[near.name]):
+            self._take(now, near)
+
     def near_other(self) -> InstanceAddress | None:
         """Return a control instance of the own data centre while a far one is chosen."""
         if self.views[self.current.name].data_center == self.data_center:
--- a/packages/daemon/src/spindle_daemon/components/control_link/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/coordinator.py
@@ -147,6 +147,7 @@
             return
         if now - self.started_at < STARTUP_WAIT_S and not self._heard_all_fresh():
             return
+        self.choice.settle(now)
         self.spindle.ready = True
         _LOGGER.info("link: ready with config version %s", self.holder.catalog.version)
 
--- a/packages/daemon/src/spindle_daemon/components/serving/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/__init__.py
@@ -8,6 +8,7 @@
 from spindle_daemon.core.catalog_taken import CatalogTaken
 from spindle_daemon.core.live_changed import LiveChanged
 from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.core.upstreams_listed import UpstreamsListed
 from spindle_daemon.settings.const import POLICY_NAIVE
 from spindle_decisions.serving.connection_shares import ConnectionShares
 from spindle_decisions.serving.naive_policy import NaivePolicy
@@ -22,6 +23,7 @@
     coordinator = ServingCoordinator(spindle, board, create_metrics(registry))
     spindle.bus.listen(CatalogTaken, coordinator.take_catalog)
     spindle.bus.listen(LiveChanged, coordinator.take_live)
+    spindle.bus.listen(UpstreamsListed, coordinator.take_platform_list)
     coordinator.take_catalog(CatalogTaken(spindle.catalog.index))
     gevent.spawn(coordinator.keep_shares)
     return coordinator
--- a/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
@@ -24,6 +24,7 @@
 from spindle_daemon.core.catalog_taken import CatalogTaken
 from spindle_daemon.core.live_changed import LiveChanged
 from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.core.upstreams_listed import UpstreamsListed
 from spindle_daemon.settings.const import ROLE_ENTRY
 from spindle_decisions.account.query_outcome import QueryOutcome
 from spindle_decisions.catalog.group import Group, GroupKind
@@ -57,6 +58,7 @@
         self.started_at = spindle.clock.now()
         self.sequence = 0
         self.limits: dict[str, int] = {}
+        self.listed_leaving: frozenset[str] = frozenset()
 
     @property
     def primed(self) -> bool:
@@ -68,6 +70,7 @@
         """Use a newer catalog from now on."""
         now = self.spindle.clock.now()
         self.board.take_catalog(event.index, now)
+        self.board.listed(self.listed_leaving)
         self._follow_channels()
         self.prober.follow()
         for service in event.index.services:
@@ -85,6 +88,15 @@
         self.board.shares.heard_of(live, self.spindle.clock.now())
         self.refresh_shares()
 
+    def take_platform_list(self, event: UpstreamsListed) -> None:
+        """Send no new work to upstreams that the platform lists as leaving."""
+        self.listed_leaving = event.leaving
+        for state in self.board.listed(event.leaving):
+            _LOGGER.info("serving: %s drains, told by the platform", state.name)
+            self.spindle.timeline.add(
+                EventKind.DRAIN_SEEN, "told by the platform", upstream=state.name
+            )
+
     def refresh_shares(self) -> None:
         """Work out the connection shares again."""
         for state in self.board.refresh_shares(self.spindle.clock.now()):
--- a/packages/daemon/src/spindle_daemon/components/serving/prober.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/prober.py
@@ -93,11 +93,16 @@
             state.probing = 0
             self.board.grant_waiting(state.upstream.service, self.spindle.clock.now())
 
+    def _group_of(self, state: UpstreamState) -> str:
+        service = self.board.index.services.get(state.upstream.service)
+        return service.group if service else ""
+
     def _ask(self, state: UpstreamState) -> None:
         channel = self.channels.get(state.name)
         if channel is None:
             return
         self.metrics.probes.inc()
+        self.spindle.account.probed(self._group_of(state))
         reply = None
         with gevent.Timeout(const.PROBE_TIMEOUT_S, False):
             reply = channel.exchange(METHOD_GET, const.PATH_STATUS, b"", {})
--- a/packages/daemon/src/spindle_daemon/core/account_sink.py
+++ b/packages/daemon/src/spindle_daemon/core/account_sink.py
@@ -11,5 +11,8 @@
     def arrived(self, group: str) -> None:
         """Count a request at its arrival, before anything can go wrong."""
 
+    def probed(self, group: str) -> None:
+        """Count a status request to an upstream of the group."""
+
     def finished(self, record: QueryRecord) -> None:
         """Count how a request ended."""
--- a/packages/daemon/src/spindle_daemon/daemon.py
+++ b/packages/daemon/src/spindle_daemon/daemon.py
@@ -8,7 +8,14 @@
 from gevent.event import Event
 
 from spindle_daemon.components import account as account_component
-from spindle_daemon.components import admin, control, control_link, process_metrics, timeline
+from spindle_daemon.components import (
+    admin,
+    control,
+    control_link,
+    platform_list,
+    process_metrics,
+    timeline,
+)
 from spindle_daemon.components import entry_http as entry_http_component
 from spindle_daemon.components import serving as serving_component
 from spindle_daemon.core.clock import SystemClock
@@ -77,6 +84,7 @@
     spindle.on_stop(link.leave)
     account_component.setup(spindle)
     coordinator = serving_component.setup(spindle)
+    platform_list.setup(spindle)
     entry_http_component.setup(spindle, coordinator)
 
 
--- a/packages/decisions/src/spindle_decisions/serving/upstream_board.py
+++ b/packages/decisions/src/spindle_decisions/serving/upstream_board.py
@@ -204,6 +204,24 @@
             self.choices.clear()
         return begins
 
+    def listed(self, leaving: Collection[str]) -> list[UpstreamState]:
+        """Learn whom the platform lists as leaving; return those for whom that is new.
+
+        The list lags and may be wrong, so it never takes the last replica of a
+        service away: where it names all that are left, their own word counts.
+        """
+        began = []
+        for states in self.by_service.values():
+            named = {state.name for state in states if state.name in leaving}
+            left = [state for state in states if state.name not in named and not state.draining]
+            for state in states:
+                listed = state.name in named and bool(left)
+                if listed and not state.listed_leaving:
+                    began.append(state)
+                state.listed_leaving = listed
+        self.choices.clear()
+        return began
+
     def probe_failed(self, state: UpstreamState, now: float) -> bool:
         """Learn that the replica did not answer a status request; return true if ejected."""
         if state.ejection.ejected(now):
--- a/packages/decisions/src/spindle_decisions/serving/upstream_state.py
+++ b/packages/decisions/src/spindle_decisions/serving/upstream_state.py
@@ -28,10 +28,11 @@
         self.latency = LatencyAverage()
         self.load = ReportedLoad()
         self.drain = ReportedDrain()
+        self.listed_leaving = False
         self.ejection = Ejection()
         self.limit = AdaptiveLimit(upstream.slots)
 
     @property
     def draining(self) -> bool:
-        """Tell whether new work is forbidden, by the catalog or by the upstream itself."""
-        return self.upstream.draining or self.drain.draining
+        """Tell whether new work is forbidden: by catalog, platform or the upstream itself."""
+        return self.upstream.draining or self.listed_leaving or self.drain.draining
--- a/tests/daemon/control_link/test_control_choice.py
+++ b/tests/daemon/control_link/test_control_choice.py
@@ -41,6 +41,13 @@
         self.assertEqual(self.choice.current.name, "c1")
         self.assertTrue(self.choice.doubtful(10.0))
 
+    def test_start_settles_in_the_own_data_center(self) -> None:
+        for name, stale, expected in (("c1", True, "c2"), ("c1", False, "c1")):
+            choice = ControlChoice(ADDRESSES, "dc-c1", 0.0, first=1)
+            choice.acked(0.0, _ack(name, stale))
+            choice.settle(0.1)
+            self.assertEqual(choice.current.name, expected)
+
     def test_near_control_instance_is_taken_back_after_it_was_steady(self) -> None:
         now = self._run(0.0, 2 * STEP_S, {"c1": True, "c2": False})
         now = self._run(now, MOVE_BACK_S - 2.0, {"c1": False, "c2": False})
--- a/tests/daemon/serving/common.py
+++ b/tests/daemon/serving/common.py
@@ -99,6 +99,7 @@
     def __init__(self) -> None:
         self.arrivals: list[str] = []
         self.records: list[QueryRecord] = []
+        self.probes: list[str] = []
 
     def arrived(self, group: str) -> None:
         self.arrivals.append(group)
@@ -106,6 +107,9 @@
     def finished(self, record: QueryRecord) -> None:
         self.records.append(record)
 
+    def probed(self, group: str) -> None:
+        self.probes.append(group)
+
 
 class FakeTimeline:
     """Keeps events."""
--- a/tests/integration/test_isolation.py
+++ b/tests/integration/test_isolation.py
@@ -52,6 +52,8 @@
         self.assertEqual(answer.status, 200)
         self.wait_versions(self.deployment, 2, ENTRIES)
         self.assertEqual(self._status(lonely)["version"], 1)
+        moved = self.deployment.operator(lonely.replace("control", "entry")).get("/v1/timeline")
+        self.assertIn("control-moved", [event["kind"] for event in moved.body["events"]])
         before = self._identity(leader)
         self.links.heal()
         self.deployment.wait_until(
