--- /dev/null
+++ b/tests/integration/test_stop.py
@@ -0,0 +1,104 @@
+"""A planned stop under load cuts off nothing, also while the balancer keeps sending."""
+
+import time
+
+import gevent
+import msgspec
+from bench.cli import spindlectl
+from bench.load.generator import offer_load
+from bench.load.load_run import LoadRun
+from bench.load.load_settings import LoadSettings
+from bench.load.outcome import Outcome
+from bench.load.run_answer import RunAnswer
+from bench.plan import GroupPlan
+from bench.plan_builder import build_plan
+from bench.ports import LOOPBACK
+
+from spindle_devkit.endpoint import Endpoint
+from tests.integration.serving_case import IdSource, ServingCase
+
+QUERIES = "comptoir"
+RUNS = "reservations"
+RATE_PER_S = 60.0
+BEFORE_S = 1.0
+STOP_LAG_S = 2.0
+LOAD_S = BEFORE_S + 0.8 * STOP_LAG_S
+RUN_GAP_S = 0.05
+STOP_TIMEOUT_S = 30.0
+
+
+class TestStop(ServingCase):
+    def setUp(self) -> None:
+        slow = (("median-ms", "60"), ("straggler-ratio", "0.05"), ("straggler-factor", "8"))
+        self.start(
+            build_plan(
+                (
+                    GroupPlan(QUERIES, 3, 2, settings=slow),
+                    GroupPlan(RUNS, 1, 2, kind="request", settings=slow),
+                ),
+                entries=2,
+                data_centers=("rennes-a",),
+                entry_settings=(("stop-lag-ms", str(int(STOP_LAG_S * 1000))),),
+                serving_settings=(("shares", "off"),),
+            )
+        )
+        self.stopping = self.deployment.plan.entries[0]
+        self.ids = IdSource()
+
+    def test_nothing_is_cut_off(self) -> None:
+        load = gevent.spawn(self._load)
+        runs = gevent.spawn(self._run_all)
+        gevent.sleep(BEFORE_S)
+        process = self.deployment.processes[self.stopping.name]
+        process.terminate()
+        records, answers = load.get().records, runs.get()
+        self.assertTrue(process.running or process.wait(0) == 0)
+        code = process.wait(STOP_TIMEOUT_S)
+        self.assertEqual(code, 0, self.deployment.log_tails())
+        cut = [item for item in records if item.outcome is Outcome.FAILED]
+        self.assertEqual(cut, [], "every query gets an answer or a coded refusal")
+        self.assertEqual([item for item in records if item.wrong], [])
+        during = [item for item in records if item.at_s > BEFORE_S + 0.2]
+        answered = [item for item in during if item.outcome is Outcome.ANSWERED]
+        self.assertGreater(len(answered), len(during) // 2, "served on while the balancer sends")
+        self.assertEqual([item for item in answers if item.status == 0], [])
+        self.assertLessEqual({item.code for item in answers}, {"", "overloaded", "not-run"})
+        self._check_page(len(records), len(answers))
+
+    def test_late_arrivals_are_told_that_it_leaves(self) -> None:
+        process = self.deployment.processes[self.stopping.name]
+        process.terminate()
+        caller = self.runner(0, RUNS, 5_000)
+        codes: list[str] = []
+        while process.running:
+            answer = caller.run(self.ids.next(), "k", {"mark": f"late-{len(codes)}"})
+            if answer.status == 0:
+                break
+            codes.append(answer.code)
+        self.assertEqual(process.wait(STOP_TIMEOUT_S), 0)
+        self.assertLessEqual(set(codes), {"", "leaving"})
+        self.assertEqual(codes, sorted(codes), "served, then refused")
+
+    def _check_page(self, queries: int, runs: int) -> None:
+        """The instance is gone, and what it counted is on the page."""
+        done = spindlectl(self.deployment, "page", "--format", "json", "--timezone", "UTC")
+        self.assertEqual(done.returncode, 0, done.stderr)
+        page = msgspec.json.decode(done.stdout)
+        arrived = {group["group"]: group["arrived"] for group in page["groups"]}
+        self.assertEqual(arrived, {QUERIES: queries, RUNS: runs})
+        gaps = [gap for gap in page["gaps"] if gap["instance"] == self.stopping.name]
+        self.assertEqual(gaps, [])
+
+    def _load(self) -> LoadRun:
+        endpoint = Endpoint(LOOPBACK, self.stopping.entry_port)
+        return offer_load(LoadSettings(QUERIES, (endpoint,), RATE_PER_S, LOAD_S, deadline_ms=1_500))
+
+    def _run_all(self) -> list[RunAnswer]:
+        caller = self.runner(0, RUNS, 1_500)
+        sent = []
+        until = time.monotonic() + LOAD_S
+        while time.monotonic() < until:
+            mark = f"run-{len(sent)}"
+            sent.append(gevent.spawn(caller.run, self.ids.next(), "k", {"mark": mark}))
+            gevent.sleep(RUN_GAP_S)
+        return [job.get() for job in sent]
