--- a/packages/daemon/src/spindle_daemon/components/control/operator_api.py
+++ b/packages/daemon/src/spindle_daemon/components/control/operator_api.py
@@ -9,7 +9,7 @@
 from spindle_daemon.components.control.const import NOTE_TIMEOUT_S
 from spindle_daemon.components.control.instance_registry import InstanceRegistry
 from spindle_daemon.components.control.raft_driver import RaftDriver
-from spindle_daemon.components.control.repair_desk import RepairDesk, RepairOrder
+from spindle_daemon.components.control.repair_desk import RepairDesk
 from spindle_daemon.components.control.status_view import build_status
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.json_response import JsonResponse, json_ok
@@ -20,6 +20,10 @@
 from spindle_decisions.consensus.membership_set import MembershipSet
 from spindle_decisions.exceptions import BadRequestError, NoteError
 from spindle_decisions.notes.parser import parse_note
+from spindle_decisions.operator.founding import Founding
+from spindle_decisions.operator.identity_reply import IdentityReply
+from spindle_decisions.operator.repair_request import RepairRequest
+from spindle_decisions.operator.shown_note import shown_note
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -28,33 +32,6 @@
 STATUS_UNPROCESSABLE = 422
 
 
-class IdentityView(msgspec.Struct, frozen=True):
-    """Who a control instance is in the agreement."""
-
-    name: str
-    folder_id: str
-    blank: bool
-    role: str
-    term: int
-    leader: str
-    commit_index: int
-    applied_index: int
-    membership: MembershipSet
-
-
-class FoundingMember(msgspec.Struct, frozen=True):
-    """A control instance with which a deployment begins."""
-
-    name: str
-    folder_id: str
-
-
-class Founding(msgspec.Struct, frozen=True):
-    """The body of a bootstrap request."""
-
-    members: tuple[FoundingMember, ...]
-
-
 class OperatorApi:
     """Answers operators from the agreed state, and puts their notes into the log."""
 
@@ -101,9 +78,13 @@
         """Show one note by number."""
         for record in self.driver.state.notes():
             if str(record.number) == request.last_part:
-                return json_ok(record)
+                return json_ok(shown_note(record, self._note_text(record.version)))
         raise BadRequestError(f"no note with number {request.last_part}")
 
+    def _note_text(self, version: int) -> str:
+        texts = self.driver.state.note_texts_between(version - 1, version)
+        return texts[0] if texts else ""
+
     def status(self, _request: AdminRequest) -> JsonResponse:
         """Tell per data centre which version is in force and who has not confirmed it."""
         return json_ok(build_status(self.spindle, self.driver, self.registry))
@@ -123,7 +104,7 @@
     def identity(self, _request: AdminRequest) -> JsonResponse:
         """Tell who this control instance is."""
         node = self.driver.node
-        view = IdentityView(
+        view = IdentityReply(
             name=self.spindle.settings.instance.name,
             folder_id=self.folder_id,
             blank=node.role.name == "BLANK",
@@ -152,10 +133,10 @@
     def repair(self, request: AdminRequest) -> JsonResponse:
         """Explain the agreement, or force a membership after a majority was lost."""
         try:
-            order = msgspec.json.decode(request.body, type=RepairOrder)
+            repair_request = msgspec.json.decode(request.body, type=RepairRequest)
         except msgspec.MsgspecError as err:
             raise BadRequestError(f"repair request is malformed: {err}") from err
-        return json_ok(self.desk.handle(order))
+        return json_ok(self.desk.handle(repair_request))
 
 
 def _note_response(result: NoteApplied | NoteRefused) -> JsonResponse:
