--- a/tests/daemon/entry_http/test_callers.py
+++ b/tests/daemon/entry_http/test_callers.py
@@ -82,7 +82,7 @@
         ),
     )
     def test_raw(self, _name: str, parts: tuple[str, ...], pause_s: float, status: bytes) -> None:
-        with bench() as it:
+        with bench(entry={"idle_timeout_ms": 60_000}) as it:
             received = talk(it, *parts, pause_s=pause_s)
             self.assertEqual(b"HTTP/1.1 " + status, received[:12])
             self.assertIn(b"X-Spindle-Code: ", received)
--- a/tests/daemon/serving/test_query.py
+++ b/tests/daemon/serving/test_query.py
@@ -73,7 +73,7 @@
                 self.assertEqual(sorted([f"{GROUP}-0{n}" for n in (1, 2, 3)] * 2), sorted(rows))
 
     def test_swapped_answers_reach_nobody(self) -> None:
-        with bench(services=1) as it:
+        with bench(services=1, serving_settings={"shares": False}) as it:
             change(it, GROUP, swap_next=2)
             asked = [
                 gevent.spawn(
@@ -202,7 +202,7 @@
             elif source == "header of an answer":
                 it.tier.coordinator.prober.stop()
                 change(it, GROUP, median_ms=150.0)
-                flying = [gevent.spawn(it.tier.query) for _ in range(4)]
+                flying = [gevent.spawn(it.tier.query) for _ in range(2)]
                 wait_until(self, lambda: upstream.counters.executed > 0)
                 change(it, GROUP, median_ms=5.0)
                 change(it, name, draining=True)
