--- a/packages/cli/src/spindle_cli/processes.py
+++ b/packages/cli/src/spindle_cli/processes.py
@@ -4,17 +4,23 @@
 
 from spindle_cli import const
 from spindle_cli.address import Address
-from spindle_cli.models.instance_row import InstanceRow
+from spindle_cli.answer import Answer
 from spindle_cli.operator_api import OperatorApi
+from spindle_decisions.wire.live_instance import LiveInstance
 
 
 @dataclasses.dataclass(frozen=True)
 class Processes:
     """The processes that some control instance knows, and who could not be asked."""
 
-    instances: tuple[InstanceRow, ...]
+    instances: tuple[LiveInstance, ...]
     controls: tuple[Address, ...]
-    problems: tuple[str, ...]
+    failed: tuple[Answer[tuple[LiveInstance, ...]], ...] = ()
+
+    @property
+    def problems(self) -> tuple[str, ...]:
+        """Name in sentences the control instances that could not be asked."""
+        return tuple(f"{item.address} could not be asked: {item.error}" for item in self.failed)
 
     def addresses(self) -> tuple[Address, ...]:
         """Return the admin address of every process once, control instances first."""
@@ -34,12 +40,12 @@
 
     Control instances that the others name are added to those given.
     """
-    answers = api.ask_all(api.required_controls(), const.PATH_INSTANCES, tuple[InstanceRow, ...])
-    instances: dict[tuple[str, int], InstanceRow] = {}
+    answers = api.ask_all(api.required_controls(), const.PATH_INSTANCES, tuple[LiveInstance, ...])
+    instances: dict[tuple[str, int], LiveInstance] = {}
     for answer in answers:
         for item in answer.value or ():
             instances[(item.instance, item.incarnation)] = item
-    newest: dict[str, InstanceRow] = {}
+    newest: dict[str, LiveInstance] = {}
     for item in sorted(instances.values(), key=lambda row: (row.instance, row.incarnation)):
         newest[item.instance] = item
     found = tuple(newest.values())
@@ -49,9 +55,5 @@
     return Processes(
         instances=found,
         controls=tuple(dict.fromkeys((*api.controls, *controls))),
-        problems=tuple(
-            f"{answer.address} could not be asked: {answer.error}"
-            for answer in answers
-            if answer.error is not None
-        ),
+        failed=tuple(answer for answer in answers if answer.error is not None),
     )
--- a/packages/daemon/src/spindle_daemon/components/serving/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/__init__.py
@@ -8,6 +8,7 @@
 from spindle_daemon.core.catalog_taken import CatalogTaken
 from spindle_daemon.core.live_changed import LiveChanged
 from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.core.upstreams_listed import UpstreamsListed
 from spindle_daemon.settings.const import POLICY_NAIVE
 from spindle_decisions.serving.connection_shares import ConnectionShares
 from spindle_decisions.serving.naive_policy import NaivePolicy
@@ -18,17 +19,23 @@
 
 def setup(spindle: Spindle, registry: CollectorRegistry = REGISTRY) -> ServingCoordinator:
     """Set up serving: follow the catalog and the live instances, begin to probe."""
-    instance = spindle.settings.instance
-    shares = ConnectionShares(instance.name, spindle.clock.now())
-    board = UpstreamBoard(_create_policy(spindle), shares, spindle.rng)
+    board = UpstreamBoard(_create_policy(spindle), _create_shares(spindle), spindle.rng)
     coordinator = ServingCoordinator(spindle, board, create_metrics(registry))
     spindle.bus.listen(CatalogTaken, coordinator.take_catalog)
     spindle.bus.listen(LiveChanged, coordinator.take_live)
+    spindle.bus.listen(UpstreamsListed, coordinator.take_platform_list)
     coordinator.take_catalog(CatalogTaken(spindle.catalog.index))
     gevent.spawn(coordinator.keep_shares)
     return coordinator
 
 
+def _create_shares(spindle: Spindle) -> ConnectionShares | None:
+    serving = spindle.settings.serving
+    if serving.policy == POLICY_NAIVE or not serving.shares:
+        return None
+    return ConnectionShares(spindle.settings.instance.name, spindle.clock.now())
+
+
 def _create_policy(spindle: Spindle) -> ServingPolicy:
     serving = spindle.settings.serving
     if serving.policy == POLICY_NAIVE:
@@ -38,6 +45,5 @@
         retries=serving.retries,
         limits=serving.limits,
         ejection=serving.ejection,
-        shares=serving.shares,
     )
     return TierPolicy(spindle.settings.instance.data_center, switches)
--- a/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
@@ -3,11 +3,12 @@
 import logging
 
 import gevent
-import msgspec
 
 from spindle_daemon.components.serving import const
+from spindle_daemon.components.serving.body_table import BodyTable
 from spindle_daemon.components.serving.caller import Caller
 from spindle_daemon.components.serving.claims import Claims
+from spindle_daemon.components.serving.conclusion import answer_for, refusal_for
 from spindle_daemon.components.serving.metrics import ServingMetrics
 from spindle_daemon.components.serving.prober import Prober
 from spindle_daemon.components.serving.query_answer import QueryAnswer
@@ -23,21 +24,17 @@
 from spindle_daemon.core.catalog_taken import CatalogTaken
 from spindle_daemon.core.live_changed import LiveChanged
 from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.core.upstreams_listed import UpstreamsListed
 from spindle_daemon.settings.const import ROLE_ENTRY
 from spindle_decisions.account.query_outcome import QueryOutcome
 from spindle_decisions.catalog.group import Group, GroupKind
 from spindle_decisions.exceptions import (
     BadRequestError,
-    CoverageBelowMinimumError,
-    DeadlineExceededError,
     NotRunError,
-    OverloadedError,
-    RefusalError,
     UnknownGroupError,
 )
 from spindle_decisions.serving.query_end import QueryEnd
 from spindle_decisions.serving.query_plan import QueryPlan
-from spindle_decisions.serving.query_result import QueryResult
 from spindle_decisions.serving.service_owner import service_owner
 from spindle_decisions.serving.upstream_board import UpstreamBoard
 from spindle_decisions.timeline.event_kind import EventKind
@@ -45,26 +42,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 UNKNOWN_GROUP = "unknown"
-_ENCODER = msgspec.json.Encoder()
-
-
-class QueryBody(msgspec.Struct, frozen=True):
-    """The body of a sub-request."""
-
-    service: str
-    query: msgspec.Raw
-
-
-class BodyTable(dict[str, bytes]):
-    """Sub-request bodies by service, encoded when first needed."""
-
-    def __init__(self, query: msgspec.Raw) -> None:
-        super().__init__()
-        self.query = query
-
-    def __missing__(self, service: str) -> bytes:
-        body = self[service] = _ENCODER.encode(QueryBody(service, self.query))
-        return body
 
 
 class ServingCoordinator:
@@ -80,6 +57,8 @@
         self.claims = Claims(spindle)
         self.started_at = spindle.clock.now()
         self.sequence = 0
+        self.limits: dict[str, int] = {}
+        self.listed_leaving: frozenset[str] = frozenset()
 
     @property
     def primed(self) -> bool:
@@ -91,6 +70,7 @@
         """Use a newer catalog from now on."""
         now = self.spindle.clock.now()
         self.board.take_catalog(event.index, now)
+        self.board.listed(self.listed_leaving)
         self._follow_channels()
         self.prober.follow()
         for service in event.index.services:
@@ -98,6 +78,8 @@
 
     def take_live(self, event: LiveChanged) -> None:
         """Share connections with the entry instances that live."""
+        if self.board.shares is None:
+            return
         live = {
             item.instance: (item.incarnation, item.leaving)
             for item in event.live
@@ -106,6 +88,15 @@
         self.board.shares.heard_of(live, self.spindle.clock.now())
         self.refresh_shares()
 
+    def take_platform_list(self, event: UpstreamsListed) -> None:
+        """Send no new work to upstreams that the platform lists as leaving."""
+        self.listed_leaving = event.leaving
+        for state in self.board.listed(event.leaving):
+            _LOGGER.info("serving: %s drains, told by the platform", state.name)
+            self.spindle.timeline.add(
+                EventKind.DRAIN_SEEN, "told by the platform", upstream=state.name
+            )
+
     def refresh_shares(self) -> None:
         """Work out the connection shares again."""
         for state in self.board.refresh_shares(self.spindle.clock.now()):
@@ -115,13 +106,24 @@
             )
 
     def keep_shares(self) -> None:
-        """Refresh the shares for ever; they also change as time passes."""
+        """Refresh the shares for ever, as they also change with time; report limits."""
         while True:
             gevent.sleep(const.SHARES_PERIOD_S)
             self.refresh_shares()
+            self._report_limits()
+
+    def _report_limits(self) -> None:
+        for state in self.board.states.values():
+            limit = int(state.limit.value)
+            if self.limits.setdefault(state.name, limit) != limit:
+                self.limits[state.name] = limit
+                self.spindle.timeline.add(
+                    EventKind.LIMIT_CHANGED, f"{limit} at once", upstream=state.name
+                )
 
     def stop(self) -> None:
-        """Stop probing and close all connections; called when nothing is in flight."""
+        """Record what is left, stop probing, close all connections; nothing is in flight."""
+        self.claims.finish(const.STOP_RECORDS_S)
         self.prober.stop()
         for channel in self.channels.values():
             channel.close()
@@ -159,7 +161,6 @@
             self.prober.hurry,
             TimelineNotes(self.spindle.timeline, log.request_id),
             self.spindle.clock,
-            self.metrics,
         )
         caller.watch(runner.caller_gone)
         try:
@@ -167,7 +168,16 @@
         finally:
             caller.unwatch()
         log.took(result)
-        return self._conclude(call, group, result, log)
+        if result.end is QueryEnd.CALLER_GONE:
+            log.finished(QueryOutcome.CALLER_GONE)
+            return None
+        least = group.min_coverage if call.min_coverage is None else call.min_coverage
+        if not result.covered or result.coverage < least:
+            raise refusal_for(result, least)
+        whole = result.end is QueryEnd.COMPLETE
+        log.finished(QueryOutcome.ANSWERED if whole else QueryOutcome.PARTIAL)
+        version, age_s = self.board.index.catalog.version, self.spindle.catalog.age_s()
+        return answer_for(result, log.request_id, version, age_s)
 
     def run(self, call: RunCall, log: RequestLog) -> RunAnswer:
         """Run a non-idempotent request at most once; raise a `RefusalError`.
@@ -177,18 +187,21 @@
         group = self.board.index.groups.get(call.group)
         if group is None:
             raise UnknownGroupError(f"no group {call.group}")
+        if group.kind is not GroupKind.REQUEST:
+            raise BadRequestError(f"group {call.group} takes queries only")
+        attempt = log.request_id
+        log.known_as(call.request_id)
         deadline_ms = call.deadline_ms or group.deadline_ms
         runner = RunRunner(
             call,
             self._owner(group, call.key),
-            log.request_id,
+            attempt,
             log.arrived_at + deadline_ms / const.MS_PER_S,
             self.claims,
             self.board,
             self.channels,
             self.news,
             self.spindle,
-            self.metrics,
         )
         try:
             answer = runner.run()
@@ -218,31 +231,6 @@
             raise BadRequestError(f"group {call.group} takes requests to one service only")
         return group
 
-    def _conclude(
-        self, call: QueryCall, group: Group, result: QueryResult, log: RequestLog
-    ) -> QueryAnswer | None:
-        if result.end is QueryEnd.CALLER_GONE:
-            log.finished(QueryOutcome.CALLER_GONE)
-            return None
-        least = group.min_coverage if call.min_coverage is None else call.min_coverage
-        if not result.covered or result.coverage < least:
-            raise refusal_for(result, least)
-        whole = result.end is QueryEnd.COMPLETE
-        log.finished(QueryOutcome.ANSWERED if whole else QueryOutcome.PARTIAL)
-        rows: list[msgspec.Raw] = []
-        for part in result.rows:
-            rows.extend(part)  # type: ignore[arg-type]
-        return QueryAnswer(
-            request_id=log.request_id,
-            snapshot=str(result.snapshot),
-            services_total=len(result.covered) + len(result.missing),
-            covered=list(result.covered),
-            missing=list(result.missing),
-            rows=rows,
-            config_version=self.board.index.catalog.version,
-            config_age_s=round(self.spindle.catalog.age_s(), 3),
-        )
-
     def _follow_channels(self) -> None:
         for name in [name for name in self.channels if name not in self.board.states]:
             self.channels.pop(name).close()
@@ -254,14 +242,3 @@
                     channel.close()
                 channel = self.channels[name] = UpstreamChannel(upstream.host, upstream.port)
             channel.shrink(state.share)
-
-
-def refusal_for(result: QueryResult, least: float) -> RefusalError:
-    """Return the refusal for a query whose answer does not cover enough."""
-    total = len(result.covered) + len(result.missing)
-    covered = f"{len(result.covered)} of {total} services covered"
-    if result.end is QueryEnd.OVERLOADED:
-        return OverloadedError("the queues of too many services are full")
-    if result.end is QueryEnd.DEADLINE:
-        return DeadlineExceededError(f"{covered} at the deadline")
-    return CoverageBelowMinimumError(f"{covered}, at least {least:g} wanted")
--- a/packages/daemon/src/spindle_daemon/components/serving/prober.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/prober.py
@@ -15,6 +15,7 @@
 from spindle_daemon.core.spindle import Spindle
 from spindle_decisions.serving.upstream_board import UpstreamBoard
 from spindle_decisions.serving.upstream_state import UpstreamState
+from spindle_decisions.timeline.event_kind import EventKind
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -92,14 +93,25 @@
             state.probing = 0
             self.board.grant_waiting(state.upstream.service, self.spindle.clock.now())
 
+    def _group_of(self, state: UpstreamState) -> str:
+        service = self.board.index.services.get(state.upstream.service)
+        return service.group if service else ""
+
     def _ask(self, state: UpstreamState) -> None:
+        channel = self.channels.get(state.name)
+        if channel is None:
+            return
         self.metrics.probes.inc()
+        self.spindle.account.probed(self._group_of(state))
         reply = None
         with gevent.Timeout(const.PROBE_TIMEOUT_S, False):
-            reply = self.channels[state.name].exchange(METHOD_GET, const.PATH_STATUS, b"", {})
+            reply = channel.exchange(METHOD_GET, const.PATH_STATUS, b"", {})
         now = self.spindle.clock.now()
         if reply is None or isinstance(reply, SendFailure) or reply.status != 200:
             if self.board.probe_failed(state, now):
                 _LOGGER.info("serving: %s ejected, probes fail", state.name)
+                self.spindle.timeline.add(
+                    EventKind.REPLICA_EJECTED, "probes fail", upstream=state.name
+                )
             return
         self.news.status(state.name, reply, now)
--- a/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
@@ -8,7 +8,6 @@
 
 from spindle_daemon.components.serving import const
 from spindle_daemon.components.serving.claims import Claims
-from spindle_daemon.components.serving.metrics import ServingMetrics
 from spindle_daemon.components.serving.run_answer import RunAnswer
 from spindle_daemon.components.serving.run_call import RunCall
 from spindle_daemon.components.serving.run_waiter import RunWaiter
@@ -66,7 +65,6 @@
         channels: dict[str, UpstreamChannel],
         news: UpstreamNews,
         spindle: Spindle,
-        metrics: ServingMetrics,
     ) -> None:
         self.call = call
         self.service = service
@@ -77,7 +75,6 @@
         self.channels = channels
         self.news = news
         self.spindle = spindle
-        self.metrics = metrics
         self.fate = RunFate()
         self.costs = QueryCosts(needed=1)
         self.tried: set[str] = set()
@@ -160,7 +157,6 @@
             self.board.returned(state, self.spindle.clock.now())
             return None
         kind = AttemptKind.RETRY if self.fate.failures else AttemptKind.PRIMARY
-        self.metrics.sent(kind)
         self.costs.primaries += kind is AttemptKind.PRIMARY
         self.costs.retries += kind is AttemptKind.RETRY
         self.claims.remember(self.call.request_id)
@@ -177,11 +173,13 @@
 
     def _exchange(self, state: UpstreamState, left_s: float) -> bytes | FailureKind:
         headers = {
-            HEADER_REQUEST_ID: self.attempt,
+            HEADER_REQUEST_ID: self.call.request_id,
             HEADER_DEADLINE_MS: str(max(1, int(left_s * const.MS_PER_S))),
         }
         body = _ENCODER.encode(RunBody(self.service, self.call.key, self.call.body))
-        channel = self.channels[state.name]
+        channel = self.channels.get(state.name)
+        if channel is None:
+            return FailureKind.UNSENT
         reply = None
         with gevent.Timeout(left_s + const.RUN_LATE_S, False):
             reply = channel.exchange(METHOD_POST, const.PATH_RUN, body, headers)
@@ -191,7 +189,7 @@
             return FailureKind.BROKEN if reply.sent else FailureKind.UNSENT
         self.news.heard(state.name, reply, self.spindle.clock.now())
         failure = reply_verdict(
-            reply.status, self.attempt, reply.request_id, reply.not_run, reply.draining
+            reply.status, self.call.request_id, reply.request_id, reply.not_run, reply.draining
         )
         if failure is not None:
             return failure
--- a/packages/decisions/src/spindle_decisions/account/group_summary.py
+++ b/packages/decisions/src/spindle_decisions/account/group_summary.py
@@ -21,7 +21,9 @@
     `coverage_unstated` counts ends of requests that never named their services,
     such as a refusal before the catalog was read.
 
-    `needed` is the least number of sub-requests; the causes beyond it follow.
+    `needed` is the least number of sub-requests; hedges, retries, restarts and
+    probes were sent beyond it. `cancelled` is the part of all of them that was
+    cancelled before its answer.
     """
 
     group: str
@@ -57,6 +59,11 @@
         """Return the number of refusals of all codes."""
         return sum(item.count for item in self.refused)
 
+    def without_names(self) -> "GroupSummary":
+        """Return the same counts with the missing services summed and not named."""
+        unnamed = self.missing_other + sum(item.count for item in self.missing)
+        return msgspec.structs.replace(self, missing=(), missing_other=unnamed)
+
     def finished(self) -> int:
         """Return the number of requests that ended."""
         whole = self.answered + self.late
--- a/packages/decisions/src/spindle_decisions/consensus/elections.py
+++ b/packages/decisions/src/spindle_decisions/consensus/elections.py
@@ -33,9 +33,15 @@
         state.leader = None
         if state.forced and state.now > state.forced_until:
             state.forced = None
-        if self.may_campaign():
+        if self.may_campaign() and not self.awaits_own_vote():
             self.start_pre_vote()
 
+    def awaits_own_vote(self) -> bool:
+        """Return whether a campaign still waits for the own disk; another would wait longer."""
+        outbox = self.state.outbox
+        own_vote_synced = outbox.hard_state_seq <= outbox.synced_seq
+        return self.state.candidacy is Role.CANDIDATE and not own_vote_synced
+
     def may_campaign(self) -> bool:
         """Return whether this node is a voter under its own folder and not removed since."""
         return self.state.is_voter and not self.state.removed
@@ -45,7 +51,7 @@
         state = self.state
         state.candidacy = Role.PRE_CANDIDATE
         self.granted = {state.name}
-        for member in state.membership.voters():
+        for member in state.voters:
             if member.name == state.name:
                 continue
             question = PreVote(
@@ -72,7 +78,7 @@
         state.reset_election_deadline()
         self.granted = set()
         self.campaign_started_at = state.now
-        for member in state.membership.voters():
+        for member in state.voters:
             if member.name == state.name:
                 continue
             request = Vote(
@@ -88,9 +94,7 @@
     def on_synced(self) -> None:
         """Count the own vote once it is on disk."""
         state = self.state
-        if state.candidacy is not Role.CANDIDATE:
-            return
-        if state.outbox.hard_state_seq > state.outbox.synced_seq:
+        if state.candidacy is not Role.CANDIDATE or self.awaits_own_vote():
             return
         self.granted.add(state.name)
         self.count_votes()
@@ -143,7 +147,7 @@
         if member is None:
             return
         if message.removed:
-            self.stop_campaigning(message.sender)
+            state.mark_removed(message.sender)
             return
         if not message.granted:
             self.leave_for_term(message.term)
@@ -152,15 +156,6 @@
             self.granted.add(message.sender)
             self.count_pre_votes()
 
-    def stop_campaigning(self, peer: str) -> None:
-        """Note that this folder is no longer in the membership."""
-        state = self.state
-        state.become_follower(state.term, None, "removed from the membership")
-        if state.removed:
-            return
-        state.removed = True
-        state.record(RaftEventKind.REFUSED, "this folder is no longer a member", peer)
-
     def leave_for_term(self, term: int) -> None:
         """Follow in a later term that a voter named."""
         if term > self.state.term:
--- a/packages/decisions/src/spindle_decisions/consensus/following.py
+++ b/packages/decisions/src/spindle_decisions/consensus/following.py
@@ -25,10 +25,13 @@
     def on_append(self, message: Append) -> None:
         """Take in entries that follow an entry which this log holds as well."""
         state = self.state
-        if not self.accept_leader(message):
-            return
         entries = message.entries
         prev_index = message.prev_index
+        if entries and entries[-1].index != prev_index + len(entries):
+            _LOGGER.warning("raft: dropped entries of %s with a gap", message.sender)
+            return
+        if not self.accept_leader(message):
+            return
         if prev_index < state.commit_index:
             entries = tuple(entry for entry in entries if entry.index > state.commit_index)
             prev_index = min(state.commit_index, prev_index + len(message.entries))
@@ -43,6 +46,9 @@
     def accept_leader(self, message: Append | InstallSnapshot) -> bool:
         """Follow the sender if it leads the present term or a later one."""
         state = self.state
+        if message.recipient_folder != state.folder_id:
+            self.note_other_folder(message)
+            return False
         if message.term < state.term:
             self.refuse_old_leader(message)
             return False
@@ -53,14 +59,20 @@
         if state.leader != message.sender:
             state.record(RaftEventKind.LEADER_ELECTED, "heard from the leader", message.sender)
         state.become_follower(message.term, message.sender, "another node leads")
-        state.leader_contact_at = state.now
-        contact_at = state.now - max(0.0, message.quorum_age_s)
-        state.quorum_contact_at = max(state.quorum_contact_at, contact_at)
+        state.note_leader_contact(message.quorum_age_s)
         state.removed = False
         state.forced = None
         state.reset_election_deadline()
         return True
 
+    def note_other_folder(self, message: Append | InstallSnapshot) -> None:
+        """Note that a leader counts another folder under this name."""
+        state = self.state
+        if state.is_blank or message.term < state.term:
+            return
+        if message.term > state.term or state.candidacy is not Role.LEADER:
+            state.mark_removed(message.sender)
+
     def refuse_old_leader(self, message: Append | InstallSnapshot) -> None:
         """Tell the leader of an earlier term the present one."""
         state = self.state
--- a/packages/decisions/src/spindle_decisions/consensus/node_state.py
+++ b/packages/decisions/src/spindle_decisions/consensus/node_state.py
@@ -41,6 +41,7 @@
         self.rng = rng
         self.now = now
         self.started_at = now
+        self.woke_at = -math.inf
         self.term = restored.hard_state.term
         self.vote = restored.hard_state.vote
         self.log = RaftLog()
@@ -60,6 +61,8 @@
         self.forced: MembershipSet | None = None
         self.forced_reason = ""
         self.forced_until = 0.0
+        self.voters_of: MembershipSet | None = None
+        self.known_voters: tuple[Member, ...] = ()
         self.events: list[RaftEvent] = []
         self.reads_ready: list[ReadReady] = []
         self.restore: Snapshot | None = None
@@ -110,10 +113,19 @@
             return Role.BLANK
         return Role.FOLLOWER if self.is_voter else Role.LEARNER
 
+    @property
+    def voters(self) -> tuple[Member, ...]:
+        """Return the voters in force; they are worked out once for each membership."""
+        membership = self.membership
+        if membership is not self.voters_of:
+            self.voters_of = membership
+            self.known_voters = membership.voters()
+        return self.known_voters
+
     @property
     def quorum(self) -> int:
         """Return how many voters are a majority."""
-        return len(self.membership.voters()) // 2 + 1
+        return len(self.voters) // 2 + 1
 
     def identified(self, name: str, folder_id: str) -> Member | None:
         """Return the member of that name if it has that folder."""
@@ -124,7 +136,7 @@
 
     def counts(self, names: set[str]) -> bool:
         """Return whether the named members hold a majority of the votes."""
-        votes = sum(1 for member in self.membership.voters() if member.name in names)
+        votes = sum(1 for member in self.voters if member.name in names)
         return votes >= self.quorum
 
     def heard_leader_recently(self) -> bool:
@@ -133,6 +145,24 @@
             return True
         return self.now - self.leader_contact_at < self.settings.election_min_s
 
+    def move_clock(self, now: float) -> None:
+        """Set the time, and note when the process seems to have stood still."""
+        if now - self.now > self.settings.election_min_s:
+            self.woke_at = now
+        self.now = max(self.now, now)
+
+    def note_leader_contact(self, quorum_age_s: float) -> None:
+        """Note word from a leader whose own contact with a quorum is that old.
+
+        Right after a standstill the messages that waited meanwhile come in, and
+        their age is unknown, so for a while they prove no quorum.
+        """
+        self.leader_contact_at = self.now
+        if self.now - self.woke_at < self.settings.election_min_s:
+            return
+        contact_at = self.now - max(0.0, quorum_age_s)
+        self.quorum_contact_at = max(self.quorum_contact_at, contact_at)
+
     def reset_election_deadline(self) -> None:
         """Wait anew, a random time, before asking for an election."""
         low = self.settings.election_min_s
@@ -154,6 +184,14 @@
         self.candidacy = None
         self.leader = leader
 
+    def mark_removed(self, peer: str) -> None:
+        """Stop campaigning, as a member knows that this folder is none, and ask to be taken in."""
+        self.become_follower(self.term, None, "removed from the membership")
+        if self.removed:
+            return
+        self.removed = True
+        self.record(RaftEventKind.REFUSED, "this folder is no longer a member", peer)
+
     def lose_leadership(self, reason: str) -> None:
         """Drop what belongs to the leadership; waiting reads go with it."""
         self.leadership = None
--- a/packages/cli/src/spindle_cli/models/identity_reply.py
+++ b/packages/decisions/src/spindle_decisions/operator/identity_reply.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from spindle_decisions.consensus.membership_set import MembershipSet
+
 
 class IdentityReply(msgspec.Struct, frozen=True):
     """The identity of a control instance and its part in the agreement."""
@@ -9,6 +11,9 @@
     name: str
     folder_id: str
     blank: bool
-    role: str = ""
-    term: int = 0
-    leader: str = ""
+    role: str
+    term: int
+    leader: str
+    commit_index: int
+    applied_index: int
+    membership: MembershipSet
--- a/tests/cli/test_views.py
+++ b/tests/cli/test_views.py
@@ -1,13 +1,17 @@
 """Tests of the commands that join the answers of many processes."""
 
+import datetime
 import json
 import unittest
+import urllib.parse
 import zoneinfo
+from unittest import mock
 
 from nose2.tools import params
 
 from spindle_cli.day_window import day_window
 from spindle_cli.since import parse_since
+from spindle_cli.summary_source import request_paths
 from spindle_decisions.account.minute_counter import MinuteCounter
 from spindle_decisions.account.minute_summary import encode_summary
 from spindle_decisions.account.summaries_reply import SummariesReply
@@ -24,7 +28,7 @@
 
 def reply(control: str, *minutes: bytes) -> object:
     return lambda _body, query: SummariesReply(
-        control, DAY, 0, minutes if query.endswith("hour=0") and DAY in query else ()
+        control, DAY, 0, 6, minutes if "hour=0&" in query and DAY in query else ()
     )
 
 
@@ -66,7 +70,15 @@
         for control in (self.first, self.second):
             control.on("GET /v1/summaries", reply(control.name, self.late))
             control.on("GET /v1/members", lambda _body, _query: [member])
-        self.assertIn("control-c was not asked", self.page())
+        self.assertIn("no address leads to all of these control instances: control-c", self.page())
+
+    def test_a_member_that_is_down_is_named_once(self) -> None:
+        member = {"name": "control-b", "folder_id": "f", "voter": True}
+        self.first.on("GET /v1/summaries", reply("control-a", self.late))
+        self.first.on("GET /v1/members", lambda _body, _query: [member])
+        self.second.server.stop()
+        built = json.loads(self.page("--format", "json"))
+        self.assertEqual(len(built["problems"]), 1, built["problems"])
 
     def test_the_html_page_needs_nothing_else(self) -> None:
         for control in (self.first, self.second):
@@ -79,13 +91,30 @@
             self.assertNotIn(forbidden, text)
 
 
+class TestSummaryRequests(unittest.TestCase):
+    @params("UTC", "Asia/Ho_Chi_Minh", "Asia/Kathmandu", "Europe/Paris")
+    def test_every_hour_is_asked_for_once_and_the_one_before_the_day(self, zone: str) -> None:
+        window = day_window(DAY, zoneinfo.ZoneInfo(zone), DAY_START_MS + 10**9)
+        hours: list[int] = []
+        for path in request_paths(window):
+            query = dict(urllib.parse.parse_qsl(path.partition("?")[2]))
+            first = int(query["hour"])
+            self.assertLessEqual(first + int(query["hours"]), 24)
+            day = datetime.date.fromisoformat(query["day"]).toordinal()
+            hours.extend(day * 24 + first + index for index in range(int(query["hours"])))
+        epoch = datetime.date(1970, 1, 1).toordinal() * 24
+        first_hour, last_ms = window.from_ms // 3_600_000 - 1, window.to_ms - 1
+        expected = range(epoch + first_hour, epoch + last_ms // 3_600_000 + 1)
+        self.assertEqual(hours, list(expected))
+
+
 class TestTimeline(CliTestCase):
     def lines(self, control: FakeControl, *walls: int, dropped: int = 0) -> None:
         events = tuple(
             Event(HlcStamp(wall, 0), control.name, EventKind.REQUEST_ARRIVED, request_id="r-1")
             for wall in walls
         )
-        answer = TimelineReply(control.name, events, dropped, walls[0])
+        answer = TimelineReply(control.name, events, dropped, walls[0] if dropped else 0)
         control.on("GET /v1/timeline", lambda _body, _query: answer)
 
     def test_all_processes_are_merged(self) -> None:
@@ -103,6 +132,21 @@
         self.assertIn("control-b", result.stderr)
         self.assertIn("control-a no longer holds its 5 oldest events", result.stderr)
 
+    def test_following_asks_only_for_what_is_new(self) -> None:
+        queries: list[str] = []
+
+        def answer(_body: bytes, query: str) -> object:
+            queries.append(query)
+            event = Event(HlcStamp(10 + len(queries), 2), "control-a", EventKind.DRAIN_SEEN)
+            return TimelineReply("control-a", (event,), 0)
+
+        self.first.on("GET /v1/timeline", answer)
+        with mock.patch("spindle_cli.commands.timeline.gevent.sleep") as sleep:
+            sleep.side_effect = [None, KeyboardInterrupt]
+            result = self.run_cli("timeline", "--follow", controls=(self.first.address,))
+        self.assertEqual(queries, ["", "since=11.2"])
+        self.assertEqual(result.stdout.count("saw a drain"), 2)
+
     def test_explain_tells_the_story(self) -> None:
         self.lines(self.first, 10)
         self.lines(self.second, 20)
@@ -113,8 +157,9 @@
 class TestStatus(CliTestCase):
     def test_a_stale_control_instance_is_not_gone_by(self) -> None:
         center = {"data_center": "rennes-a", "version": 3, "instances": 2, "in_force": False}
-        center["unconfirmed"] = ["entry-b"]
+        center |= {"unconfirmed": ["entry-b"], "silent": [], "oldest_age_ms": 0}
         base = {"role": "leader", "term": 2, "leader": "x", "digest": "d", "quorum_age_ms": 0}
+        base["applied_index"] = 9
         for control, version, stale in ((self.first, 4, False), (self.second, 9, True)):
             value = {**base, "control": control.name, "version": version, "stale": stale}
             value["data_centers"] = [center]
