--- a/packages/decisions/src/spindle_decisions/serving/latency_average.py
+++ b/packages/decisions/src/spindle_decisions/serving/latency_average.py
@@ -4,8 +4,8 @@
 INITIAL_S = 0.02
 CLIP_FACTOR = 4.0
 UNFINISHED_FACTOR = 2.0
-FRESH_S = 3.0
-HALF_LIFE_S = 3.0
+FRESH_S = 5.0
+HALF_LIFE_S = 5.0
 
 
 class LatencyAverage:
