Say not run only of the request; ask again for a lost catalog

Two tests were red: without a majority a first sending was told outcome-unknown. Cause: a claim that got no answer counts as uncertain, and rightly so, since the tier cannot know whether an earlier sending ran elsewhere; the other way, taken where every control instance declined, said not-run although a resend at another entry may have run before (test_run_elsewhere_during_the_cut_is_not_denied). Ruled out: the age of the id (callers' clocks differ by minutes), always unknown (a cut-off caller never learns that nothing ran), not-run of the sending (untrue as read). Now a caller may give its word that it never sent the id; then not-run is true, else outcome-unknown.

An entry was not ready within 30 s in one of four starts: asking peers every quarter second also restarted the wait for the control instance's answer, so that a lost answer was never asked for again.

--- a/bench/files.py
+++ b/bench/files.py
@@ -39,6 +39,9 @@
         sections["instance"]["data-dir"] = str(folder / f"data-{item.name}")
         sections["control"] = dict(plan.control_settings)
         return render_ini(sections)
+    sections["peers"] = {
+        entry.name: _mesh(entry.mesh_port) for entry in plan.entries if entry.name != item.name
+    }
     sections["entry"] = {"listen": f"{LOOPBACK}:{item.entry_port}", **dict(plan.entry_settings)}
     sections["serving"] = dict(plan.serving_settings)
     return render_ini(sections)
--- a/bench/load/run_caller.py
+++ b/bench/load/run_caller.py
@@ -10,6 +10,7 @@
 from spindle_decisions.wire.headers import (
     HEADER_CODE,
     HEADER_DEADLINE_MS,
+    HEADER_FIRST_SENDING,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_NOT_RUN,
 )
@@ -31,12 +32,18 @@
             network_timeout=timeout_s,
         )
 
-    def run(self, request_id: str, key: str, body: dict[str, str]) -> RunAnswer:
-        """Send one request; a lost answer has status 0 and the error's name as code."""
+    def run(
+        self, request_id: str, key: str, body: dict[str, str], first: bool = False
+    ) -> RunAnswer:
+        """Send one request; a lost answer has status 0 and the error's name as code.
+
+        `first` gives the word that the id was never sent before.
+        """
         headers = {
             "Content-Type": "application/json",
             HEADER_IDEMPOTENCY_KEY: request_id,
             HEADER_DEADLINE_MS: str(self.deadline_ms),
+            HEADER_FIRST_SENDING: "yes" if first else "no",
         }
         sent = msgspec.json.encode({"key": key, "body": body})
         try:
--- a/packages/daemon/src/spindle_daemon/components/control_link/catalog_fetcher.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/catalog_fetcher.py
@@ -49,11 +49,11 @@
         if waiting and version <= self.asked_version:
             return
         self.asked_version = version
+        self.asked_at = self.clock.now()
         self.ask(address, full=self.want_full)
 
-    def ask(self, address: str, full: bool) -> None:
-        """Ask an instance for what is newer than the catalog in force."""
-        self.asked_at = self.clock.now()
+    def ask(self, address: str, full: bool = False) -> None:
+        """Ask an instance for what is newer than the catalog in force, if it has any."""
         fetch = FetchConfig(
             self.transport.name, self.advertise, self.holder.catalog.version, full=full
         )
--- a/packages/daemon/src/spindle_daemon/components/control_link/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/coordinator.py
@@ -103,7 +103,7 @@
         known = {peer.address for peer in self.spindle.settings.peers}
         known.update(item.mesh_address for item in self.live)
         for address in known - {self.spindle.settings.mesh.advertise}:
-            self.fetcher.ask(address, full=False)
+            self.fetcher.ask(address)
 
     def _heartbeat(self, attached: bool) -> Heartbeat:
         return Heartbeat(
--- a/packages/daemon/src/spindle_daemon/components/entry_http/application.py
+++ b/packages/daemon/src/spindle_daemon/components/entry_http/application.py
@@ -137,4 +137,5 @@
         key=request.key,
         body=request.body,
         deadline_ms=headers.deadline_ms(environ),
+        first_sending=headers.first_sending(environ),
     )
--- a/packages/daemon/src/spindle_daemon/components/entry_http/headers.py
+++ b/packages/daemon/src/spindle_daemon/components/entry_http/headers.py
@@ -8,11 +8,14 @@
 from spindle_decisions.exceptions import BadRequestError
 from spindle_decisions.wire.headers import (
     HEADER_DEADLINE_MS,
+    HEADER_FIRST_SENDING,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_MIN_COVERAGE,
 )
 
 ID_VERSION = 7
+SENDING_YES = "yes"
+SENDING_NO = "no"
 
 
 def environ_key(header: str) -> str:
@@ -42,6 +45,14 @@
     return str(value)
 
 
+def first_sending(environ: Mapping[str, object]) -> bool:
+    """Return whether the caller says that it never sent this id before."""
+    text = str(environ.get(environ_key(HEADER_FIRST_SENDING), SENDING_NO)).lower()
+    if text not in (SENDING_YES, SENDING_NO):
+        raise BadRequestError(f"{HEADER_FIRST_SENDING} must be {SENDING_YES} or {SENDING_NO}")
+    return text == SENDING_YES
+
+
 def _number(environ: Mapping[str, object], header: str, least: float, most: float) -> float | None:
     text = environ.get(environ_key(header))
     if text is None:
--- a/packages/daemon/src/spindle_daemon/components/serving/claims.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/claims.py
@@ -20,6 +20,7 @@
     IdExpiredError,
     NotRunError,
     OutcomeUnknownError,
+    OverloadedError,
     RefusalError,
 )
 from spindle_decisions.timeline.event_kind import EventKind
@@ -32,8 +33,9 @@
 class Claims:
     """Claims the one run of a request, and records how it ended.
 
-    Ids that this instance has sent to an upstream are remembered: when such an
-    id comes again and no control instance answers, "not run" would be untrue.
+    Without a majority nobody can tell whether an id ran at another entry. "Not
+    run" is then said only to a caller whose word is that it never sent the id
+    before, and only when this instance did not send it to an upstream either.
     """
 
     def __init__(self, spindle: Spindle) -> None:
@@ -41,24 +43,21 @@
         self.dispatched: OrderedDict[str, None] = OrderedDict()
         self.pending: set[gevent.Greenlet] = set()
 
-    def claim(self, claim: ClaimRun, timeout_s: float) -> ClaimAnswer:
+    def claim(self, claim: ClaimRun, timeout_s: float, first_sending: bool) -> ClaimAnswer:
         """Have the claim agreed.
 
-        Raises `NotRunError` when it is in no log, `OutcomeUnknownError` when
-        that is not known, and what the claim was refused with. A claim that is
-        agreed after all without being used is released in the background.
+        Raises `NotRunError` when it was not agreed in time and this is the first
+        sending of the id, `OutcomeUnknownError` when an earlier one may have
+        run, and what the claim was refused with. A claim that is agreed after
+        all without being used is released in the background.
         """
         try:
             result = self._propose(claim, timeout_s)
         except NotRunError:
-            if claim.request_id in self.dispatched:
-                raise OutcomeUnknownError("an earlier sending may have run") from None
-            raise
+            raise self._not_agreed(claim, first_sending) from None
         except OutcomeUnknownError:
             self._in_background(self._release_unused, claim)
-            raise OutcomeUnknownError(
-                "the claim may be agreed late; this sending runs nothing, send the id again"
-            ) from None
+            raise self._not_agreed(claim, first_sending) from None
         if isinstance(result, ClaimRefused):
             self._note(EventKind.CLAIM_REFUSED, result.text, claim.request_id)
             raise _refusal(result)
@@ -70,6 +69,13 @@
         self._note(EventKind.CLAIM_GRANTED, claim.attempt, claim.request_id)
         return result
 
+    def _not_agreed(self, claim: ClaimRun, first_sending: bool) -> RefusalError:
+        if first_sending and claim.request_id not in self.dispatched:
+            return NotRunError("the claim was not agreed in time; nothing ran")
+        return OutcomeUnknownError(
+            "the claim was not agreed in time; this sending ran nothing, an earlier one may have"
+        )
+
     def remember(self, request_id: str) -> None:
         """Remember that bytes of this request may be with an upstream from now on."""
         self.dispatched[request_id] = None
@@ -138,4 +144,6 @@
 def _refusal(refused: ClaimRefused) -> RefusalError:
     if refused.code == IdExpiredError.code:
         return IdExpiredError(refused.text)
+    if refused.code == OverloadedError.code:
+        return OverloadedError(refused.text)
     return BadRequestError(refused.text)
--- a/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/run_runner.py
@@ -107,7 +107,7 @@
             instance=self.spindle.settings.instance.name,
             proposed_at_ms=self.spindle.clock.wall_ms(),
         )
-        answer = self.claims.claim(claim, self._left_s())
+        answer = self.claims.claim(claim, self._left_s(), self.call.first_sending)
         if not isinstance(answer, ClaimHeld):
             return None
         if not answer.recorded:
--- a/packages/decisions/src/spindle_decisions/commands/claim_run.py
+++ b/packages/decisions/src/spindle_decisions/commands/claim_run.py
@@ -8,7 +8,7 @@
 
     `attempt` is unique per dispatch, so that a claim proposed twice by the same
     dispatch is granted once and recognised the second time. `request_digest`
-    covers service and body: the same id with another body is refused.
+    covers group, key and body: the same id with another body is refused.
     """
 
     request_id: str
--- a/packages/decisions/src/spindle_decisions/exceptions.py
+++ b/packages/decisions/src/spindle_decisions/exceptions.py
@@ -98,7 +98,7 @@
 
 
 class IdExpiredError(RefusalError):
-    """The request id is older than the retention of ids; nothing ran."""
+    """The request id is older than the retention of ids; this sending ran nothing."""
 
     code = "id-expired"
     http_status = 410
--- /dev/null
+++ b/tests/daemon/control_link/common.py
@@ -0,0 +1,46 @@
+"""Fixtures of the tests of the control link."""
+
+from collections.abc import Callable
+from typing import Any
+
+from spindle_decisions.timeline.event_kind import EventKind
+
+
+class ManualClock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        self.seconds = 100.0
+
+    def now(self) -> float:
+        return self.seconds
+
+    def wall_ms(self) -> int:
+        return int(self.seconds * 1000)
+
+
+class NoTimeline:
+    """A time line that keeps nothing."""
+
+    def add(self, kind: EventKind, reason: str = "", **_fields: object) -> None:
+        """Forget the event."""
+
+
+class FakeTransport:
+    """Keeps what is sent and delivers what a test wants."""
+
+    name = "entry-1"
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, Any]] = []
+        self.handlers: dict[type[Any], Callable[[str, Any], None]] = {}
+
+    def handle(self, kind: type[Any], handler: Callable[[str, Any], None]) -> None:
+        self.handlers[kind] = handler
+
+    def send(self, address: str, message: Any) -> bool:
+        self.sent.append((address, message))
+        return True
+
+    def deliver(self, sender: str, message: Any) -> None:
+        self.handlers[type(message)](sender, message)
--- a/tests/daemon/control_link/test_catalog_holder.py
+++ b/tests/daemon/control_link/test_catalog_holder.py
@@ -13,15 +13,8 @@
 from spindle_decisions.catalog.catalog import Catalog
 from spindle_decisions.catalog.data_center import DataCenter
 from spindle_decisions.exceptions import FrameError
-from spindle_decisions.timeline.event_kind import EventKind
 from spindle_decisions.wire.config_chunk import ConfigChunk
-
-
-class NoTimeline:
-    """A time line that keeps nothing."""
-
-    def add(self, kind: EventKind, reason: str = "", **_fields: object) -> None:
-        """Forget the event."""
+from tests.daemon.control_link.common import NoTimeline
 
 
 class TestCatalogHolder(unittest.TestCase):
