--- a/packages/decisions/src/spindle_decisions/account/page_builder.py
+++ b/packages/decisions/src/spindle_decisions/account/page_builder.py
@@ -95,7 +95,7 @@
                 self.totals[group.group].lost += max(0, group.in_flight)
 
     def _group_page(self, totals: GroupTotals) -> GroupPage:
-        verdict = judge(totals, not self.gaps and not self.problems)
+        verdict = judge(totals, not self.gaps and not self.problems, self.window.is_over())
         counts = totals.counts
         added = totals.added()
         missing = totals.missing.most_common(MAX_MISSING_SHOWN)
@@ -103,7 +103,9 @@
         return GroupPage(
             group=totals.group,
             verdict=verdict,
-            line=verdict_line(totals, verdict, len(self.gaps), len(self.problems)),
+            line=verdict_line(
+                totals, verdict, len(self.gaps), len(self.problems), self._uncounted_ms()
+            ),
             target_min_ms=totals.target_min_ms,
             target_max_ms=totals.target_max_ms,
             arrived=counts["arrived"],
@@ -135,6 +137,16 @@
             series=self.courses[totals.group].series(self.gaps),
         )
 
+    def _uncounted_ms(self) -> int:
+        """Return how long ago the run that goes on and is furthest behind was counted."""
+        horizon_ms = self.window.horizon_ms()
+        tails = [
+            horizon_ms - run.end_ms()
+            for index, run in enumerate(self.runs)
+            if is_live_at(run, run_after(self.runs, index), self.window)
+        ]
+        return max([0, *tails])
+
     def _basis(self) -> tuple[InstanceBasis, ...]:
         by_instance: dict[str, list[Run]] = {}
         for run in self.runs:
--- a/packages/decisions/src/spindle_decisions/account/verdicts.py
+++ b/packages/decisions/src/spindle_decisions/account/verdicts.py
@@ -1,34 +1,44 @@
 """Judging of a group's day."""
 
+import math
+
 from spindle_decisions.account.group_totals import GroupTotals
 from spindle_decisions.account.shares import PER_CENT, percent_down
 from spindle_decisions.account.verdict import Verdict
 
 GOOD_SHARE_PER_CENT = 99
+MS_PER_S = 1000
 
 
-def judge(totals: GroupTotals, complete: bool) -> Verdict:
+def judge(totals: GroupTotals, complete: bool, over: bool) -> Verdict:
     """Judge by the share of whole answers within the target over all requests.
 
     Everything else counts against the day: late and partial answers, refusals
     of any code, unknown outcomes, callers that gave up and requests that were
-    lost. What is good only as far as known is `INCOMPLETE`.
+    lost. What is good only as far as known is `INCOMPLETE`; before the day is
+    over nothing is better than `GOOD_SO_FAR`.
     """
     total = totals.total()
     if totals.counts["answered"] * PER_CENT < total * GOOD_SHARE_PER_CENT:
         return Verdict.MISSED
     if not complete:
         return Verdict.INCOMPLETE
-    return Verdict.GOOD if total else Verdict.NO_QUERIES
+    if not total:
+        return Verdict.NO_QUERIES
+    return Verdict.GOOD if over else Verdict.GOOD_SO_FAR
 
 
-def verdict_line(totals: GroupTotals, verdict: Verdict, gaps: int, problems: int) -> str:
+def verdict_line(
+    totals: GroupTotals, verdict: Verdict, gaps: int, problems: int, uncounted_ms: int
+) -> str:
     """Write the verdict in one line, with what a reader must not overlook."""
     parts = [f"{verdict.upper()}: {_share_line(totals)}"]
     if totals.counts["outcome_unknown"]:
         parts.append(f"{totals.counts['outcome_unknown']:,} with unknown outcome")
     if totals.lost:
         parts.append(f"{totals.lost:,} arrived and their end is not known")
+    if uncounted_ms:
+        parts.append(f"up to {math.ceil(uncounted_ms / MS_PER_S)} s are not counted yet")
     if gaps:
         parts.append(f"{gaps} {_plural('gap', gaps)} in the counts")
     if problems:
