--- a/tests/decisions/account/test_page.py
+++ b/tests/decisions/account/test_page.py
@@ -9,6 +9,7 @@
 from spindle_decisions.account.page_builder import build_page
 from spindle_decisions.account.query_outcome import QueryOutcome
 from spindle_decisions.account.query_record import QueryRecord
+from spindle_decisions.account.run import build_runs
 from spindle_decisions.account.shares import percent_down, percent_up
 from spindle_decisions.account.summary_set import SummarySet
 from spindle_decisions.account.verdict import Verdict
@@ -64,6 +65,16 @@
         self.assertEqual(page.gaps, ())
         self.assertEqual(page.groups[0].verdict, expected, page.groups[0].line)
 
+    @params(1, 19, 30)
+    def test_a_day_that_is_not_over_is_good_only_so_far(self, told_s: int) -> None:
+        """An instance that was lost a few seconds ago is not known to be lost."""
+        summaries = run_day([record()] * 100, minutes=10)
+        last_ms = build_runs(summaries)[-1].end_ms()
+        asked_ms = last_ms + told_s * 1000
+        page = build_page(window(asked_ms=asked_ms), summary_set(summaries))
+        self.assertEqual(page.groups[0].verdict, Verdict.GOOD_SO_FAR)
+        self.assertIn(f"up to {told_s} s are not counted yet", page.groups[0].line)
+
     def test_a_good_day_still_names_unknown_outcomes(self) -> None:
         records = [record()] * 199 + [record(Q.REFUSED, code="outcome-unknown")]
         page = build_page(window(), summary_set(run_day(records)))
