--- a/bench/experiments/capacity/tree_trial.py
+++ b/bench/experiments/capacity/tree_trial.py
@@ -15,6 +15,7 @@
 from bench.process import Process
 from bench.process_meter import process_use
 from spindle_daemon.mesh.receiver import receive_forever
+from spindle_decisions.util.units import US_PER_MS
 
 OWNERS = 4
 UPSTREAMS_PER_OWNER = 325
@@ -22,7 +23,6 @@
 QUERY_BYTES = 100
 HIGHEST_US = 60_000_000
 SETTLE_S = 1.5
-US_PER_MS = 1000
 
 
 class TreeTrial:
--- a/bench/experiments/control/claim_client.py
+++ b/bench/experiments/control/claim_client.py
@@ -14,11 +14,11 @@
 from spindle_decisions.commands.claim_run import ClaimRun
 from spindle_decisions.exceptions import SpindleError
 from spindle_decisions.timeline.hybrid_clock import HybridClock
+from spindle_decisions.util.units import US_PER_S
 from spindle_decisions.wire.frame_codec import FrameCodec
 
 HIGHEST_US = 60_000_000
 PROPOSE_TIMEOUT_S = 10.0
-US_PER_S = 1_000_000
 UUID_VERSION_SHIFT = 76
 UUID_TIME_SHIFT = 80
 
--- a/bench/experiments/control/group_commit.py
+++ b/bench/experiments/control/group_commit.py
@@ -13,12 +13,11 @@
 from bench.metrics_reader import read_metrics
 from bench.plan import GroupPlan
 from bench.plan_builder import build_plan
+from spindle_decisions.util.units import MS_PER_S, US_PER_MS
 
 GROUP = GroupPlan("comptoir", 1, 2)
 SECONDS = 15.0
 SECONDS_SHORT = 3.0
-US_PER_MS = 1000
-MS_PER_S = 1000
 STALL_BOUND_MS = 100.0
 METRIC_STALL = "spindle_loop_longest_stall_seconds"
 
--- a/bench/experiments/control/note_timing.py
+++ b/bench/experiments/control/note_timing.py
@@ -6,8 +6,8 @@
 
 from bench import files
 from bench.deployment import Deployment
+from spindle_decisions.util.units import MS_PER_S
 
-MS_PER_S = 1000
 POLL_S = 0.02
 SPREAD_TIMEOUT_S = 60.0
 CLIENT_TIMEOUT_S = 2.0
--- a/bench/operator_client.py
+++ b/bench/operator_client.py
@@ -6,11 +6,10 @@
 import msgspec
 
 from bench.http_exchange import DEFAULT_TIMEOUT_S, exchange
+from spindle_decisions.util.units import MS_PER_S
 from spindle_decisions.wire.headers import HEADER_SIGNATURE, HEADER_SIGNED_AT
 from spindle_decisions.wire.request_signature import sign_request
 
-MS_PER_S = 1000
-
 
 class OperatorAnswer(msgspec.Struct, frozen=True):
     """Status and decoded body of an answer."""
--- a/bench/storage_trial.py
+++ b/bench/storage_trial.py
@@ -27,6 +27,7 @@
 from spindle_decisions.consensus.persist_batch import PersistBatch
 from spindle_decisions.consensus.snapshot import Snapshot
 from spindle_decisions.state.replicated_state import ReplicatedState, create_replicated_state
+from spindle_decisions.util.units import MS_PER_S, US_PER_S
 
 START_MS = 1_790_000_000_000
 SERVICE_COUNTS = (50, 200, 850)
@@ -36,8 +37,6 @@
 BATCH_SIZES = (1, 10, 100)
 BATCH_ROUNDS = 100
 BODY = b"x" * 200
-US_PER_S = 1_000_000
-MS_PER_S = 1_000
 
 
 class Figure(msgspec.Struct, frozen=True):
--- a/packages/cli/src/spindle_cli/commands/page.py
+++ b/packages/cli/src/spindle_cli/commands/page.py
@@ -17,8 +17,8 @@
 from spindle_decisions.account.day_page import DayPage
 from spindle_decisions.account.page_builder import build_page
 from spindle_decisions.exceptions import SettingsError
+from spindle_decisions.util.units import MS_PER_S
 
-MS_PER_S = 1000
 ROLE_ENTRY = "entry"
 
 
--- a/packages/cli/src/spindle_cli/commands/timeline.py
+++ b/packages/cli/src/spindle_cli/commands/timeline.py
@@ -18,8 +18,7 @@
 from spindle_decisions.timeline.event import Event
 from spindle_decisions.timeline.event_filter import EventFilter
 from spindle_decisions.timeline.story import describe, tell_story
-
-MS_PER_S = 1000
+from spindle_decisions.util.units import MS_PER_S
 
 
 def timeline(
--- a/packages/cli/src/spindle_cli/day_window.py
+++ b/packages/cli/src/spindle_cli/day_window.py
@@ -5,8 +5,8 @@
 
 from spindle_decisions.account.page_window import PageWindow
 from spindle_decisions.exceptions import BadRequestError
+from spindle_decisions.util.units import MS_PER_S
 
-MS_PER_S = 1000
 S_PER_MINUTE = 60
 
 
--- a/packages/cli/src/spindle_cli/http_client.py
+++ b/packages/cli/src/spindle_cli/http_client.py
@@ -10,11 +10,10 @@
 from spindle_cli.address import Address
 from spindle_cli.http_reply import HttpReply
 from spindle_decisions.exceptions import AnswerLostError, UnreachableError
+from spindle_decisions.util.units import MS_PER_S
 from spindle_decisions.wire.headers import HEADER_SIGNATURE, HEADER_SIGNED_AT
 from spindle_decisions.wire.request_signature import sign_request
 
-MS_PER_S = 1000
-
 
 class SignedClient:
     """Sends signed requests, each over a connection of its own."""
--- a/packages/cli/src/spindle_cli/output.py
+++ b/packages/cli/src/spindle_cli/output.py
@@ -5,7 +5,7 @@
 import msgspec
 import typer
 
-MS_PER_S = 1000
+from spindle_decisions.util.units import MS_PER_S
 
 
 def print_json(value: object) -> None:
--- a/packages/cli/src/spindle_cli/page/plots.py
+++ b/packages/cli/src/spindle_cli/page/plots.py
@@ -14,13 +14,13 @@
 from spindle_decisions.account.latency_figures import BARS_PER_DOUBLING
 from spindle_decisions.account.page_window import PageWindow
 from spindle_decisions.account.series_point import SeriesPoint
+from spindle_decisions.util.units import US_PER_MS
 
 WIDTH_IN = 9.0
 HEIGHT_IN = 2.4
 MS_PER_HOUR = 3_600_000
 POINT_HOURS = 1 / 6
 HOURS_PER_TICK = 3
-US_PER_MS = 1000
 PER_CENT = 100
 COLOR_WHOLE = "#2a6f97"
 COLOR_OTHER = "#c1553b"
--- a/packages/cli/src/spindle_cli/page/wording.py
+++ b/packages/cli/src/spindle_cli/page/wording.py
@@ -10,8 +10,8 @@
 from spindle_decisions.account.percentile import Percentile
 from spindle_decisions.account.shares import percent_down, percent_up
 from spindle_decisions.account.verdicts import target_text
+from spindle_decisions.util.units import US_PER_MS
 
-US_PER_MS = 1000
 MAX_GAPS_SHOWN = 50
 MAX_SPANS_SHOWN = 6
 CAUSES = {
--- a/packages/cli/src/spindle_cli/since.py
+++ b/packages/cli/src/spindle_cli/since.py
@@ -6,8 +6,8 @@
 from spindle_decisions.exceptions import BadRequestError
 from spindle_decisions.timeline.hlc_stamp import HlcStamp
 from spindle_decisions.timeline.stamp_text import parse_stamp
+from spindle_decisions.util.units import MS_PER_S
 
-MS_PER_S = 1000
 MS_PER_UNIT = {"s": 1000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
 AGE_PATTERN = re.compile(r"([0-9]{1,9})([smhd])")
 
--- a/packages/daemon/src/spindle_daemon/components/control/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/control/__init__.py
@@ -22,11 +22,10 @@
 from spindle_decisions.consensus.settings import RaftSettings
 from spindle_decisions.state.replicated_state import create_replicated_state
 from spindle_decisions.timeline.event_kind import EventKind
+from spindle_decisions.util.units import MS_PER_S
 from spindle_decisions.wire.fetch_config import FetchConfig
 from spindle_decisions.wire.raft_packet import RaftPacket
 
-MS_PER_S = 1000
-
 
 def setup(spindle: Spindle, admin: AdminApp) -> DataFolder:
     """Start a control instance on its data folder."""
--- a/packages/daemon/src/spindle_daemon/components/control/instance_registry.py
+++ b/packages/daemon/src/spindle_daemon/components/control/instance_registry.py
@@ -9,6 +9,7 @@
 from spindle_decisions.membership.instance_table import InstanceTable
 from spindle_decisions.membership.status_share import StatusShare
 from spindle_decisions.timeline.event_kind import EventKind
+from spindle_decisions.util.units import MS_PER_S
 from spindle_decisions.wire.config_notice import ConfigNotice
 from spindle_decisions.wire.control_status import ControlStatus
 from spindle_decisions.wire.heartbeat import Heartbeat
@@ -19,7 +20,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-MS_PER_S = 1000
 LONGEST_AGE_S = 1e9
 
 
--- a/packages/daemon/src/spindle_daemon/components/entry_http/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/entry_http/__init__.py
@@ -9,8 +9,7 @@
 from spindle_daemon.helpers.http_server import create_http_server
 from spindle_daemon.settings.entry_settings import EntrySettings
 from spindle_decisions.exceptions import SettingsError
-
-MS_PER_S = 1000
+from spindle_decisions.util.units import MS_PER_S
 
 
 def setup(spindle: Spindle, coordinator: ServingCoordinator) -> None:
--- a/packages/daemon/src/spindle_daemon/components/entry_http/stop.py
+++ b/packages/daemon/src/spindle_daemon/components/entry_http/stop.py
@@ -9,11 +9,10 @@
 from spindle_daemon.components.serving.coordinator import ServingCoordinator
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.http_server import NoDelayServer
+from spindle_decisions.util.units import MS_PER_S
 
 _LOGGER = logging.getLogger(__name__)
 
-MS_PER_S = 1000
-
 
 class StopSequence:
     """Unready at once, then serve on, then refuse, then finish, then close.
--- a/packages/daemon/src/spindle_daemon/core/clock.py
+++ b/packages/daemon/src/spindle_daemon/core/clock.py
@@ -3,7 +3,7 @@
 import time
 from typing import Protocol
 
-MS_PER_S = 1000
+from spindle_decisions.util.units import MS_PER_S
 
 
 class Clock(Protocol):
--- a/packages/decisions/src/spindle_decisions/account/group_counter.py
+++ b/packages/decisions/src/spindle_decisions/account/group_counter.py
@@ -11,8 +11,8 @@
 from spindle_decisions.account.query_outcome import QueryOutcome
 from spindle_decisions.account.query_record import QueryRecord
 from spindle_decisions.exceptions import OutcomeUnknownError
+from spindle_decisions.util.units import US_PER_MS
 
-US_PER_MS = 1000
 MAX_CODES = 32
 MAX_COUNTED_SERVICES = 2_048
 MAX_NAMED_SERVICES = 256
--- a/packages/decisions/src/spindle_decisions/account/verdicts.py
+++ b/packages/decisions/src/spindle_decisions/account/verdicts.py
@@ -5,9 +5,9 @@
 from spindle_decisions.account.group_totals import GroupTotals
 from spindle_decisions.account.shares import PER_CENT, percent_down
 from spindle_decisions.account.verdict import Verdict
+from spindle_decisions.util.units import MS_PER_S
 
 GOOD_SHARE_PER_CENT = 99
-MS_PER_S = 1000
 
 
 def judge(totals: GroupTotals, complete: bool, over: bool) -> Verdict:
--- a/packages/decisions/src/spindle_decisions/membership/instance_table.py
+++ b/packages/decisions/src/spindle_decisions/membership/instance_table.py
@@ -8,14 +8,13 @@
 
 from spindle_decisions.membership.const import FORGET_AFTER_S, SUSPECT_AFTER_S
 from spindle_decisions.membership.instance_entry import DIRECT, InstanceEntry
+from spindle_decisions.util.units import MS_PER_S
 from spindle_decisions.wire.heartbeat import Heartbeat
 from spindle_decisions.wire.instance_report import InstanceReport
 from spindle_decisions.wire.leave import Leave
 from spindle_decisions.wire.live_instance import LiveInstance
 from spindle_decisions.wire.silent_instance import SilentInstance
 
-MS_PER_S = 1000
-
 
 class InstanceTable:
     """Instances heard directly by this control instance or through another one.
--- a/packages/decisions/src/spindle_decisions/serving/latency_quantile.py
+++ b/packages/decisions/src/spindle_decisions/serving/latency_quantile.py
@@ -2,10 +2,11 @@
 
 from hdrh.histogram import HdrHistogram
 
+from spindle_decisions.util.units import US_PER_S
+
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 SIGNIFICANT_DIGITS = 2
-US_PER_S = 1_000_000
 WINDOW_S = 5.0
 REFRESH_S = 0.25
 MIN_SAMPLES = 50
--- a/tests/integration/serving_case.py
+++ b/tests/integration/serving_case.py
@@ -18,12 +18,12 @@
 from bench.ports import LOOPBACK, free_ports
 from bench.process import Process
 
+from spindle_decisions.util.units import MS_PER_S
 from spindle_devkit.endpoint import Endpoint
 from spindle_devkit.proxy.const import PATH_LINKS
 from spindle_devkit.upstream.execution import Execution
 from tests.integration.common import DeploymentCase
 
-MS_PER_S = 1000
 MARK = "mark"
 HOUR_MS = 3_600_000
 POLL_S = 0.02
--- a/tests/integration/test_serving_leaving.py
+++ b/tests/integration/test_serving_leaving.py
@@ -13,8 +13,9 @@
 from bench.plan_builder import build_plan
 from nose2.tools import params
 
+from spindle_decisions.util.units import MS_PER_S
 from spindle_devkit.upstream.behavior_change import BehaviorChange
-from tests.integration.serving_case import MS_PER_S, IdSource, ServingCase
+from tests.integration.serving_case import IdSource, ServingCase
 
 QUERIES = "comptoir"
 RUNS = "reservations"
