--- a/bench/swarm.py
+++ b/bench/swarm.py
@@ -12,17 +12,25 @@
 import typer  # noqa: E402
 
 from bench.deployment import KEY  # noqa: E402
-from spindle_daemon.components import control_link, timeline  # noqa: E402
+from spindle_daemon.components import control_link  # noqa: E402
 from spindle_daemon.core.clock import SystemClock  # noqa: E402
 from spindle_daemon.core.spindle import Spindle  # noqa: E402
 from spindle_daemon.mesh.transport import Transport  # noqa: E402
 from spindle_daemon.settings.loader import load_settings  # noqa: E402
+from spindle_decisions.timeline.event_kind import EventKind  # noqa: E402
 from spindle_decisions.timeline.hybrid_clock import HybridClock  # noqa: E402
 from spindle_decisions.wire.frame_codec import FrameCodec  # noqa: E402
 
 START_GAP_S = 0.005
 
 
+class SilentTimeline:
+    """A time line that keeps nothing; the metrics of a real one exist once a process."""
+
+    def add(self, kind: EventKind, reason: str = "", **_fields: object) -> None:
+        """Forget the event."""
+
+
 def main(folder: Annotated[pathlib.Path, typer.Option(help="Folder of settings files.")]) -> None:
     """Run one control link for each settings file in a folder, until killed."""
     clock = SystemClock()
@@ -33,7 +41,7 @@
         spindle.transport = Transport(
             settings.instance.name, settings.mesh.listen, FrameCodec(KEY), hybrid
         )
-        timeline.setup(spindle, hybrid)
+        spindle.timeline = SilentTimeline()
         control_link.setup(spindle)
         spindle.transport.start()
         gevent.sleep(START_GAP_S)
