Make the digest of a catalog once per version; drop what nothing uses

After a note every entry fetches it at the same time, and each answer hashed the whole catalog again, as did each status; the registry and the entry's holder had the digest already. Behaviour is the same.

--- a/packages/daemon/src/spindle_daemon/components/control/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/control/__init__.py
@@ -90,7 +90,12 @@
     own = addresses.get(spindle.settings.instance.name, spindle.settings.mesh.advertise)
     transport.handle(RaftPacket, lambda _sender, packet: driver.receive(packet))
     ProposeService(spindle.clock, transport, driver, addresses.get)
-    sender = CatalogSender(transport, lambda: driver.state.catalog, driver.state.note_texts_between)
+    sender = CatalogSender(
+        transport,
+        lambda: driver.state.catalog,
+        lambda: registry.config_mark().digest,
+        driver.state.note_texts_between,
+    )
     transport.handle(FetchConfig, sender.handle_fetch)
     spindle.control = ProposalClient(
         spindle.clock, transport, spindle.settings.mesh.advertise, lambda _attempt: own
--- a/packages/daemon/src/spindle_daemon/components/control/instance_registry.py
+++ b/packages/daemon/src/spindle_daemon/components/control/instance_registry.py
@@ -55,7 +55,7 @@
 
     def push_version(self) -> None:
         """Tell the instances heard here directly that a newer version exists."""
-        mark = self._config_mark()
+        mark = self.config_mark()
         notice = ConfigNotice(self.name, mark.version, mark.digest)
         for entry in self.table.entries.values():
             if entry.via == DIRECT:
@@ -66,7 +66,7 @@
         if beat.attached and self.table.heard(now, beat):
             self.digest = self.table.digest()
         same = beat.live_digest == self.digest
-        mark = self._config_mark()
+        mark = self.config_mark()
         quorum_age_s = min(self.driver.node.quorum_age(now), LONGEST_AGE_S)
         ack = HeartbeatAck(
             control=self.name,
@@ -98,7 +98,7 @@
             if item.name == control:
                 self.spindle.transport.send(item.address, message)
 
-    def _config_mark(self) -> ConfigMark:
+    def config_mark(self) -> ConfigMark:
         """Return version and digest of the applied catalog; each digest is made once."""
         catalog = self.driver.state.catalog
         if catalog.version != self.mark.version:
--- a/packages/daemon/src/spindle_daemon/components/control/status_view.py
+++ b/packages/daemon/src/spindle_daemon/components/control/status_view.py
@@ -24,7 +24,7 @@
         stale=node.is_stale(now),
         quorum_age_ms=int(min(node.quorum_age(now), 1e9) * 1000),
         version=catalog.version,
-        digest=catalog.digest(),
+        digest=registry.config_mark().digest,
         applied_index=driver.applied_index,
         data_centers=tuple(_data_center(name, catalog.version, reports) for name in sorted(names)),
     )
--- a/packages/daemon/src/spindle_daemon/components/control_link/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/__init__.py
@@ -18,7 +18,9 @@
     holder = CatalogHolder(spindle.clock, spindle.bus, spindle.timeline)
     fetcher = CatalogFetcher(spindle.clock, spindle.transport, advertise, holder)
     link = ControlLink(spindle, holder, fetcher)
-    sender = CatalogSender(spindle.transport, lambda: holder.catalog, no_notes)
+    sender = CatalogSender(
+        spindle.transport, lambda: holder.catalog, lambda: holder.digest, no_notes
+    )
     spindle.transport.handle(FetchConfig, sender.handle_fetch)
     spindle.catalog = holder
     spindle.control = ProposalClient(spindle.clock, spindle.transport, advertise, link.target)
--- a/packages/daemon/src/spindle_daemon/components/control_link/catalog_sender.py
+++ b/packages/daemon/src/spindle_daemon/components/control_link/catalog_sender.py
@@ -21,13 +21,22 @@
 
 
 class CatalogSender:
-    """Sends the notes since a version when they are kept, else the whole in chunks."""
+    """Sends the notes since a version when they are kept, else the whole in chunks.
+
+    `digest` returns the digest of what `catalog` returns, made once per version:
+    after a note every entry asks at the same time.
+    """
 
     def __init__(
-        self, transport: Transport, catalog: Callable[[], Catalog], notes_between: NotesBetween
+        self,
+        transport: Transport,
+        catalog: Callable[[], Catalog],
+        digest: Callable[[], str],
+        notes_between: NotesBetween,
     ) -> None:
         self.transport = transport
         self.catalog = catalog
+        self.digest = digest
         self.notes_between = notes_between
 
     def handle_fetch(self, _sender: str, fetch: FetchConfig) -> None:
@@ -42,13 +51,13 @@
             self._send_whole(fetch.mesh_address, catalog)
             return
         delta = ConfigDelta(
-            self.transport.name, fetch.have_version, catalog.version, notes, catalog.digest()
+            self.transport.name, fetch.have_version, catalog.version, notes, self.digest()
         )
         self.transport.send(fetch.mesh_address, delta)
 
     def _send_whole(self, address: str, catalog: Catalog) -> None:
         data = msgspec.msgpack.encode(catalog)
-        digest = catalog.digest()
+        digest = self.digest()
         starts = range(0, len(data), CHUNK_BYTES)
         for index, start in enumerate(starts):
             part = data[start : start + CHUNK_BYTES]
--- a/packages/decisions/src/spindle_decisions/account/span.py
+++ b/packages/decisions/src/spindle_decisions/account/span.py
@@ -8,7 +8,3 @@
 
     from_ms: int
     to_ms: int
-
-    def length_ms(self) -> int:
-        """Return the length in milliseconds."""
-        return self.to_ms - self.from_ms
