--- a/packages/daemon/src/spindle_daemon/__main__.py
+++ b/packages/daemon/src/spindle_daemon/__main__.py
@@ -9,8 +9,9 @@
 
 import typer  # noqa: E402
 
-from spindle_daemon.daemon import read_key, run  # noqa: E402
+from spindle_daemon.daemon import run  # noqa: E402
 from spindle_daemon.helpers.log_setup import setup_logging  # noqa: E402
+from spindle_daemon.helpers.process import read_key  # noqa: E402
 from spindle_daemon.settings.loader import load_settings  # noqa: E402
 from spindle_decisions.exceptions import SpindleError  # noqa: E402
 
--- a/packages/daemon/src/spindle_daemon/components/entry_http/application.py
+++ b/packages/daemon/src/spindle_daemon/components/entry_http/application.py
@@ -11,7 +11,6 @@
 from spindle_daemon.components.entry_http.query_request import QueryRequest
 from spindle_daemon.components.entry_http.route import Route, parse_route
 from spindle_daemon.components.entry_http.run_request import RunRequest
-from spindle_daemon.components.entry_http.socket_caller import SocketCaller
 from spindle_daemon.components.serving.coordinator import ServingCoordinator
 from spindle_daemon.components.serving.query_call import QueryCall
 from spindle_daemon.components.serving.request_log import RequestLog
@@ -19,6 +18,7 @@
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.http_limits_handler import ENVIRON_HANDLER, LimitsHandler
 from spindle_daemon.helpers.json_response import JsonResponse, json_error, json_ok
+from spindle_daemon.helpers.socket_caller import SocketCaller
 from spindle_decisions.account.query_outcome import QueryOutcome
 from spindle_decisions.exceptions import (
     BadRequestError,
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/fleet/const.py
@@ -0,0 +1,13 @@
+"""Periods of the fleet."""
+
+HELLO_S = 0.4
+BEAT_S = 0.4
+READ_TICK_S = 0.1
+# The least time between two reads after one that failed.
+READ_RETRY_S = 0.5
+# A control instance passes on only a list that is about as new as it should be.
+LIST_NEWS_S = 6.0
+COMPRESSION_LEVEL = 6
+# An instance that holds a plan waits this long for word that it is the newest.
+PLAN_SURE_S = 1.5
+PLAN_SURE_WAIT_S = 3.0
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
@@ -0,0 +1,214 @@
+"""The fleet as a control instance takes part in it."""
+
+import logging
+
+import gevent
+
+from spindle_daemon.components.control.raft_driver import RaftDriver
+from spindle_daemon.components.fleet.const import HELLO_S, LIST_NEWS_S
+from spindle_daemon.components.fleet.fleet_instance import fleet_instance
+from spindle_daemon.components.fleet.list_codec import decode_list, encode_list
+from spindle_daemon.components.fleet.list_reader import ListReader
+from spindle_daemon.core.dialect import Dialect
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.periodic import run_every
+from spindle_daemon.settings.fleet_settings import FleetSettings
+from spindle_decisions.consensus.role import Role
+from spindle_decisions.exceptions import FrameError, MembershipChangeError
+from spindle_decisions.fleet import const
+from spindle_decisions.fleet.fleet_table import FleetTable
+from spindle_decisions.fleet.founding import Founding
+from spindle_decisions.fleet.list_keeper import ListKeeper
+from spindle_decisions.fleet.list_turn import read_after_s
+from spindle_decisions.util.units import MS_PER_S
+from spindle_decisions.wire.control_beat import ControlBeat
+from spindle_decisions.wire.entry_beat import EntryBeat
+from spindle_decisions.wire.fleet_hello import FleetHello
+from spindle_decisions.wire.fleet_instance import FleetInstance
+from spindle_decisions.wire.list_push import ListPush
+from spindle_decisions.wire.plan_push import PlanPush
+
+_LOGGER = logging.getLogger(__name__)
+
+LONGEST_AGE_S = 1e6
+
+
+class ControlDesk:
+    """Meets the other control instances, founds, answers beats and pushes news."""
+
+    def __init__(
+        self,
+        spindle: Spindle,
+        fleet: FleetSettings,
+        dialect: Dialect,
+        driver: RaftDriver,
+        folder_id: str,
+    ) -> None:
+        self.spindle = spindle
+        self.fleet = fleet
+        self.driver = driver
+        self.folder_id = folder_id
+        self.me = fleet_instance(spindle)
+        self.table = FleetTable()
+        self.keeper = ListKeeper()
+        self.founding = Founding(
+            self.me.address, self.me.name, folder_id, fleet.seeds if fleet.founding else ()
+        )
+        self.beats: dict[str, EntryBeat] = {}
+        self.redialled_at: dict[str, float] = {}
+        self.reader = ListReader(
+            spindle.clock, self.keeper, dialect.upstreams, self._read_after_s, self._on_read
+        )
+        transport = spindle.transport
+        transport.handle(FleetHello, self._on_hello)
+        transport.handle(EntryBeat, self._on_beat)
+        transport.handle(ListPush, self._on_list)
+
+    def start(self) -> None:
+        """Start the greenlets."""
+        gevent.spawn(run_every, "fleet", lambda: HELLO_S, self._say_hello)
+        self.reader.start()
+
+    def address_of(self, name: str) -> str | None:
+        """Return the mesh address of a process that was met."""
+        known = self.table.instances.get(name)
+        return known.address if known else None
+
+    def push_plan(self) -> None:
+        """Send the plan in force to the entry instances that count on this one."""
+        push = self._plan_push()
+        for beat in self.beats.values():
+            if beat.primary and beat.plan_version < push.version:
+                self.spindle.transport.send(beat.instance.address, push)
+
+    def _say_hello(self) -> None:
+        now = self.spindle.clock.now()
+        self.table.heard(now, self.me)
+        self._forget_silent(now)
+        others = self.table.lately(now, const.ROLE_CONTROL, const.FORGET_S)
+        self.driver.node.met(frozenset(item.name for item in others))
+        hello = FleetHello(
+            self.me,
+            self.folder_id,
+            self.fleet.founding and self.driver.node.role is Role.BLANK,
+            self.table.report(now),
+            self.keeper.held.digest,
+            self._list_age_ms(now),
+        )
+        addresses = {item.address for item in others} | set(self.fleet.seeds)
+        for address in sorted(addresses - {self.me.address}):
+            self.spindle.transport.send(address, hello)
+
+    def _on_hello(self, _sender: str, hello: FleetHello) -> None:
+        now = self.spindle.clock.now()
+        self.table.heard(now, hello.instance)
+        for heard in hello.heard:
+            if heard.instance.name != self.me.name:
+                self.table.told(now, heard)
+        self._found(hello)
+        self.keeper.confirmed(hello.list_digest, now - hello.list_age_ms / MS_PER_S)
+        differs = hello.list_digest != self.keeper.held.digest
+        if differs and self._list_age_ms(now) < min(hello.list_age_ms, LIST_NEWS_S * MS_PER_S):
+            self._push_list(hello.instance.address)
+
+    def _found(self, hello: FleetHello) -> None:
+        if self.driver.node.role is not Role.BLANK:
+            return
+        self.founding.heard(hello)
+        membership = self.founding.membership()
+        if membership is None:
+            return
+        names = ", ".join(member.name for member in membership.members)
+        try:
+            self.driver.node.bootstrap(membership)
+        except MembershipChangeError as err:
+            _LOGGER.warning("fleet: not founded: %s", err, extra={"event": "not-founded"})
+            return
+        _LOGGER.info("fleet: founded by %s", names, extra={"event": "founded"})
+        self.driver.pump()
+
+    def _on_beat(self, _sender: str, beat: EntryBeat) -> None:
+        name = beat.instance.name
+        if beat.leaving:
+            self.beats.pop(name, None)
+            self.table.left(name)
+            return
+        now = self.spindle.clock.now()
+        before = self.beats.get(name)
+        self.table.heard(now, beat.instance)
+        self.beats[name] = beat
+        entries = self.table.lately(now, const.ROLE_ENTRY, const.SHARE_S)
+        quorum_age_s = min(self.driver.node.quorum_age(now), LONGEST_AGE_S)
+        plan = self.driver.state.plan
+        address = beat.instance.address
+        reply = ControlBeat(
+            control=self.me.name,
+            controls=self.table.report(now, const.ROLE_CONTROL),
+            entries=len(entries),
+            plan_version=plan.version,
+            quorum_age_ms=int(quorum_age_s * MS_PER_S),
+            list_digest=self.keeper.held.digest,
+            list_age_ms=self._list_age_ms(now),
+        )
+        self.spindle.transport.send(address, reply)
+        again = before is not None and before.plan_version == beat.plan_version
+        if beat.plan_version < plan.version and (beat.primary or again):
+            self.spindle.transport.send(address, self._plan_push())
+        lacks = beat.list_digest != self.keeper.held.digest
+        if lacks and self._list_age_ms(now) < LIST_NEWS_S * MS_PER_S:
+            self._push_list(address)
+
+    def _on_list(self, _sender: str, push: ListPush) -> None:
+        now = self.spindle.clock.now()
+        try:
+            newer = decode_list(push)
+        except FrameError as err:
+            _LOGGER.warning("fleet: list dropped: %s", err)
+            return
+        if self.keeper.take(newer, now - push.age_ms / MS_PER_S):
+            self._tell_list(())
+
+    def _on_read(self, changed: bool) -> None:
+        if not changed:
+            return
+        now = self.spindle.clock.now()
+        others = self.table.lately(now, const.ROLE_CONTROL, const.LIVE_S)
+        self._tell_list(tuple(item.address for item in others if item.name != self.me.name))
+
+    def _tell_list(self, more: tuple[str, ...]) -> None:
+        entries = tuple(beat.instance.address for beat in self.beats.values() if beat.primary)
+        for address in (*more, *entries):
+            self._push_list(address)
+
+    def _push_list(self, address: str) -> None:
+        now = self.spindle.clock.now()
+        self.spindle.transport.send(address, encode_list(self.keeper.held, self._list_age_ms(now)))
+
+    def _plan_push(self) -> PlanPush:
+        plan = self.driver.state.plan
+        return PlanPush(plan.version, plan.document)
+
+    def _read_after_s(self) -> float:
+        now = self.spindle.clock.now()
+        live = self.table.lately(now, const.ROLE_CONTROL, const.LIVE_S)
+        node = self.driver.node
+        leader = self.me.name if node.role is Role.LEADER else node.leader
+        return read_after_s(self.me.name, leader, [item.name for item in live])
+
+    def _list_age_ms(self, now: float) -> int:
+        return int(min(self.keeper.age(now), LONGEST_AGE_S) * MS_PER_S)
+
+    def _forget_silent(self, now: float) -> None:
+        for gone in self.table.expire(now):
+            _LOGGER.info("fleet: %s forgotten", gone.name, extra={"event": "forgotten"})
+            self.beats.pop(gone.name, None)
+            self.spindle.transport.forget(gone.address)
+        for instance in self.table.instances.values():
+            if self.table.age(now, instance.name) > const.REDIAL_S:
+                self._redial(now, instance)
+
+    def _redial(self, now: float, instance: FleetInstance) -> None:
+        if now - self.redialled_at.get(instance.name, 0.0) < const.REDIAL_S:
+            return
+        self.redialled_at[instance.name] = now
+        self.spindle.transport.forget(instance.address)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
@@ -0,0 +1,158 @@
+"""The fleet as an entry instance takes part in it."""
+
+import logging
+import math
+import zlib
+
+import gevent
+
+from spindle_daemon.components.fleet.const import (
+    BEAT_S,
+    PLAN_SURE_S,
+    PLAN_SURE_WAIT_S,
+)
+from spindle_daemon.components.fleet.fleet_instance import fleet_instance
+from spindle_daemon.components.fleet.list_codec import decode_list
+from spindle_daemon.components.fleet.list_reader import ListReader
+from spindle_daemon.components.fleet.plan_taken import PlanTaken
+from spindle_daemon.components.fleet.upstreams_taken import UpstreamsTaken
+from spindle_daemon.core.dialect import Dialect
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.periodic import run_every
+from spindle_daemon.settings.fleet_settings import FleetSettings
+from spindle_decisions.exceptions import FrameError, PlanError
+from spindle_decisions.fleet import const
+from spindle_decisions.fleet.fleet_table import FleetTable
+from spindle_decisions.fleet.list_keeper import ListKeeper
+from spindle_decisions.fleet.news_targets import choose_targets
+from spindle_decisions.routing.plan import EMPTY_PLAN
+from spindle_decisions.util.units import MS_PER_S
+from spindle_decisions.wire.control_beat import ControlBeat
+from spindle_decisions.wire.entry_beat import EntryBeat
+from spindle_decisions.wire.list_push import ListPush
+from spindle_decisions.wire.plan_push import PlanPush
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class EntryDesk:
+    """Beats to some control instances and takes whatever is newer from any of them.
+
+    A control instance pushes only what was agreed, so the highest version of the plan
+    is the one to have, whoever sends it; the instance never takes a lower one.
+    """
+
+    def __init__(self, spindle: Spindle, fleet: FleetSettings, dialect: Dialect) -> None:
+        self.spindle = spindle
+        self.fleet = fleet
+        self.plans = dialect.plans
+        self.me = fleet_instance(spindle)
+        self.table = FleetTable()
+        self.keeper = ListKeeper()
+        self.plan = EMPTY_PLAN
+        self.plan_at = math.inf
+        self.sure_at = -math.inf
+        self.instances = 1
+        self.asked_at: dict[str, float] = {}
+        self.answered_at: dict[str, float] = {}
+        self.patience_s = const.READ_ENTRY_S + spindle.rng.uniform(0.0, 1.0)
+        self.reader = ListReader(
+            spindle.clock,
+            self.keeper,
+            dialect.upstreams,
+            lambda: self.patience_s,
+            lambda changed: self._on_read(changed),
+        )
+        transport = spindle.transport
+        transport.handle(ControlBeat, self._on_beat)
+        transport.handle(PlanPush, self._on_plan)
+        transport.handle(ListPush, self._on_list)
+
+    def start(self) -> None:
+        """Start the greenlets."""
+        gevent.spawn(run_every, "fleet", lambda: BEAT_S, self._beat)
+        self.reader.start()
+
+    def leave(self) -> None:
+        """Say good-bye, so that others take over the shares at once."""
+        for address in self._targets():
+            self.spindle.transport.send(address, self._message(False, leaving=True))
+
+    def sure(self) -> bool:
+        """Return whether a plan is held that was the newest a moment ago.
+
+        Where no control instance with a quorum answers, a plan that was held for a
+        while has to do.
+        """
+        now = self.spindle.clock.now()
+        return now - self.sure_at < PLAN_SURE_S or now - self.plan_at > PLAN_SURE_WAIT_S
+
+    def _beat(self) -> None:
+        now = self.spindle.clock.now()
+        targets = self._targets()
+        for address in targets:
+            self._redial(now, address)
+            primary = address == targets[0]
+            self.asked_at.setdefault(address, now)
+            self.spindle.transport.send(address, self._message(primary))
+        for gone in self.table.expire(now):
+            self.spindle.transport.forget(gone.address)
+
+    def _message(self, primary: bool, leaving: bool = False) -> EntryBeat:
+        return EntryBeat(self.me, primary, self.plan.version, self.keeper.held.digest, leaving)
+
+    def _targets(self) -> list[str]:
+        now = self.spindle.clock.now()
+        return choose_targets(now, self.me, self.table, self.fleet.seeds, self.answered_at)
+
+    def _redial(self, now: float, address: str) -> None:
+        since = max(self.answered_at.get(address, -math.inf), self.asked_at.get(address, now))
+        if now - since > const.REDIAL_S:
+            self.spindle.transport.forget(address)
+            self.asked_at[address] = now
+
+    def _on_beat(self, _sender: str, beat: ControlBeat) -> None:
+        now = self.spindle.clock.now()
+        for heard in beat.controls:
+            self.table.told(now, heard)
+            if heard.instance.name == beat.control:
+                self.answered_at[heard.instance.address] = now
+                self.asked_at.pop(heard.instance.address, None)
+        if beat.quorum_age_ms < PLAN_SURE_S * MS_PER_S:
+            if beat.plan_version <= self.plan.version:
+                self.sure_at = now
+            if beat.entries != self.instances:
+                self.instances = max(1, beat.entries)
+                self.spindle.bus.fire(UpstreamsTaken(self.keeper.held, self.instances))
+        self.keeper.confirmed(beat.list_digest, now - beat.list_age_ms / MS_PER_S)
+
+    def _on_plan(self, sender: str, push: PlanPush) -> None:
+        if push.version <= self.plan.version:
+            return
+        try:
+            plan = self.plans.decode(zlib.decompress(push.document))
+        except (PlanError, zlib.error) as err:
+            _LOGGER.error("fleet: plan %s dropped: %s", push.version, err)
+            return
+        self.plan = plan
+        self.plan_at = min(self.plan_at, self.spindle.clock.now())
+        _LOGGER.info(
+            "fleet: plan %s in force",
+            plan.version,
+            extra={"event": "plan", "version": plan.version, "source": sender},
+        )
+        self.spindle.bus.fire(PlanTaken(plan))
+
+    def _on_list(self, _sender: str, push: ListPush) -> None:
+        now = self.spindle.clock.now()
+        try:
+            newer = decode_list(push)
+        except FrameError as err:
+            _LOGGER.warning("fleet: list dropped: %s", err)
+            return
+        if self.keeper.take(newer, now - push.age_ms / MS_PER_S):
+            self.spindle.bus.fire(UpstreamsTaken(newer, self.instances))
+
+    def _on_read(self, changed: bool) -> None:
+        if changed:
+            self.spindle.bus.fire(UpstreamsTaken(self.keeper.held, self.instances))
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/fleet/fleet_instance.py
@@ -0,0 +1,16 @@
+"""This process as it tells others about itself."""
+
+from spindle_daemon.core.spindle import Spindle
+from spindle_decisions.wire.fleet_instance import FleetInstance
+
+
+def fleet_instance(spindle: Spindle) -> FleetInstance:
+    """Return this process as it tells others about itself."""
+    settings = spindle.settings
+    return FleetInstance(
+        settings.instance.name,
+        settings.instance.role,
+        settings.instance.data_center,
+        settings.mesh.advertise,
+        spindle.incarnation,
+    )
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/fleet/list_reader.py
@@ -0,0 +1,65 @@
+"""Reading the platform's list of upstreams when it is this process's turn."""
+
+import logging
+from collections.abc import Callable
+
+import gevent
+
+from spindle_daemon.components.fleet.const import READ_RETRY_S, READ_TICK_S
+from spindle_daemon.core.clock import Clock
+from spindle_daemon.core.dialect import UpstreamSource
+from spindle_daemon.helpers.periodic import run_every
+from spindle_decisions.exceptions import UpstreamListError
+from spindle_decisions.fleet.list_keeper import ListKeeper
+from spindle_decisions.routing.upstream_list import create_upstream_list
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ListReader:
+    """Reads the list once it is older than `read_after_s()` and hands on what is new.
+
+    `on_read` gets whether the content changed.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        keeper: ListKeeper,
+        source: UpstreamSource,
+        read_after_s: Callable[[], float],
+        on_read: Callable[[bool], None],
+    ) -> None:
+        self.clock = clock
+        self.keeper = keeper
+        self.source = source
+        self.read_after_s = read_after_s
+        self.on_read = on_read
+        self.not_before = 0.0
+        self.failing = False
+
+    def start(self) -> None:
+        """Start the greenlet."""
+        gevent.spawn(run_every, "upstreams", lambda: READ_TICK_S, self.step)
+
+    def step(self) -> None:
+        """Read the list if it is due."""
+        started = self.clock.now()
+        if started < self.not_before or self.keeper.age(started) < self.read_after_s():
+            return
+        try:
+            upstreams = self.source.read()
+        except UpstreamListError as err:
+            self.not_before = self.clock.now() + READ_RETRY_S
+            if not self.failing:
+                _LOGGER.warning(
+                    "upstreams: list lost",
+                    extra={"event": "list-lost", "reason": str(err)[:200]},
+                )
+            self.failing = True
+            return
+        if self.failing:
+            self.failing = False
+            _LOGGER.info("upstreams: list regained", extra={"event": "list-regained"})
+        changed = self.keeper.take(create_upstream_list(upstreams), started)
+        self.on_read(changed)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/fleet/upstreams_taken.py
@@ -0,0 +1,13 @@
+"""The bus event of a newer list of upstreams."""
+
+import dataclasses
+
+from spindle_decisions.routing.upstream_list import UpstreamList
+
+
+@dataclasses.dataclass(frozen=True)
+class UpstreamsTaken:
+    """The list in force here, and how many entry instances share its upstreams."""
+
+    held: UpstreamList
+    instances: int
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/plan_api/__init__.py
@@ -0,0 +1,31 @@
+"""The endpoint at which operators replace and read the plan of routes."""
+
+from spindle_daemon.components.control.raft_driver import RaftDriver
+from spindle_daemon.components.plan_api.application import PlanApplication
+from spindle_daemon.components.plan_api.plan_desk import PlanDesk
+from spindle_daemon.core.dialect import Dialect
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.http_limits import HttpLimits
+from spindle_daemon.helpers.http_limits_handler import LimitsHandler
+from spindle_daemon.helpers.http_server import create_http_server
+
+LIMITS = HttpLimits(
+    max_body_bytes=16 * 1024 * 1024,
+    max_callers=256,
+    header_timeout_s=5.0,
+    body_timeout_s=10.0,
+    idle_timeout_s=30.0,
+)
+
+
+def setup(spindle: Spindle, dialect: Dialect, driver: RaftDriver) -> None:
+    """Start to listen for operators."""
+    routed = spindle.settings.routed
+    assert routed is not None
+    assert routed.operator_listen is not None
+    desk = PlanDesk(spindle, dialect.plans, driver)
+    app = PlanApplication(spindle, desk, dialect.paths)
+    server = create_http_server(routed.operator_listen, app, LimitsHandler)
+    server.limits = LIMITS
+    server.start()
+    spindle.on_stop(server.close)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/plan_api/application.py
@@ -0,0 +1,54 @@
+"""The protocol for operators of plans."""
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from spindle_daemon.components.plan_api.plan_desk import PlanDesk
+from spindle_daemon.core.dialect import Paths
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.http_limits_handler import ENVIRON_HANDLER, LimitsHandler
+from spindle_daemon.helpers.json_response import JsonResponse, json_error
+from spindle_decisions.exceptions import BadRequestError, PlanError, SpindleError
+
+_LOGGER = logging.getLogger(__name__)
+
+STATUS_UNAVAILABLE = 503
+DONE = b"{}"
+
+
+class PlanApplication:
+    """Answers the two calls of operators; all else is a bad request."""
+
+    def __init__(self, spindle: Spindle, desk: PlanDesk, paths: Paths) -> None:
+        self.spindle = spindle
+        self.desk = desk
+        self.paths = paths
+
+    def __call__(self, environ: dict[str, Any], start: Callable[..., Any]) -> Iterable[bytes]:
+        """Answer one call."""
+        handler: LimitsHandler = environ[ENVIRON_HANDLER]
+        call = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']}"
+        try:
+            response = self._answer(call, handler)
+        except (PlanError, BadRequestError) as err:
+            _LOGGER.warning("plans: refused: %s", str(err)[:200], extra={"event": "plan-refused"})
+            response = json_error(err)
+        except SpindleError as err:
+            _LOGGER.warning(
+                "plans: not agreed: %s", err, extra={"event": "plan-not-agreed", "call": call[:80]}
+            )
+            response = JsonResponse(STATUS_UNAVAILABLE, json_error(err).body)
+        except Exception:
+            _LOGGER.exception("plans: call failed")
+            response = json_error(SpindleError("internal error"))
+        return response.send(start)
+
+    def _answer(self, call: str, handler: LimitsHandler) -> JsonResponse:
+        body = handler.read_body()
+        if call == self.paths.replace_plan:
+            self.desk.replace(body)
+            return JsonResponse(200, DONE)
+        if call == self.paths.read_plan:
+            return JsonResponse(200, self.desk.read())
+        raise BadRequestError("no such call")
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/__init__.py
@@ -0,0 +1,59 @@
+"""Routed requests: from a caller's connection to the upstreams and back."""
+
+from spindle_daemon.components.fleet.entry_desk import EntryDesk
+from spindle_daemon.components.fleet.plan_taken import PlanTaken
+from spindle_daemon.components.routed.application import RoutedApplication
+from spindle_daemon.components.routed.coordinator import RoutedCoordinator
+from spindle_daemon.components.routed.ready_app import ReadyApp
+from spindle_daemon.components.routed.request_log import RoutedLog
+from spindle_daemon.components.routed.stop import RoutedStop
+from spindle_daemon.core.dialect import Dialect
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.http_limits import HttpLimits
+from spindle_daemon.helpers.http_limits_handler import LimitsHandler
+from spindle_daemon.helpers.http_server import NoDelayServer, create_http_server
+from spindle_decisions.routing.caller_limits import CallerLimits
+from spindle_decisions.util.units import MS_PER_S
+
+
+def setup(spindle: Spindle, dialect: Dialect, desk: EntryDesk) -> None:
+    """Start to listen for callers and for the balancer, and register the planned stop."""
+    entry, routed = spindle.settings.entry, spindle.settings.routed
+    assert entry is not None
+    assert routed is not None
+    assert routed.ready_listen is not None
+    coordinator = RoutedCoordinator(spindle, routed, dialect, desk)
+    log = RoutedLog(spindle.clock)
+    application = RoutedApplication(spindle, coordinator, dialect.headers, log)
+    server = create_http_server(entry.listen, application, LimitsHandler)
+    server.limits = _limits(CallerLimits(), entry.max_callers)
+
+    def take_limits(event: PlanTaken) -> None:
+        server.limits = _limits(event.plan.limits, entry.max_callers)
+
+    spindle.bus.listen(PlanTaken, take_limits)
+    server.start()
+    _start_ready(spindle, dialect, coordinator)
+    spindle.on_stop(RoutedStop(spindle, application, server, routed.stop_ms).run)
+
+
+def _start_ready(
+    spindle: Spindle, dialect: Dialect, coordinator: RoutedCoordinator
+) -> NoDelayServer:
+    routed = spindle.settings.routed
+    assert routed is not None
+    assert routed.ready_listen is not None
+    app = ReadyApp(dialect.paths.ready, lambda: coordinator.ready() and not spindle.leaving)
+    server = create_http_server(routed.ready_listen, app)
+    server.start()
+    return server
+
+
+def _limits(limits: CallerLimits, max_callers: int) -> HttpLimits:
+    return HttpLimits(
+        max_body_bytes=limits.max_body_bytes,
+        max_callers=max_callers,
+        header_timeout_s=limits.header_timeout_ms / MS_PER_S,
+        body_timeout_s=limits.header_timeout_ms / MS_PER_S,
+        idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/application.py
@@ -0,0 +1,119 @@
+"""The protocol for callers of routes."""
+
+import logging
+import urllib.parse
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from spindle_daemon.components.routed import const
+from spindle_daemon.components.routed.coordinator import RoutedCoordinator
+from spindle_daemon.components.routed.headers import end_to_end
+from spindle_daemon.components.routed.request_log import RoutedLog
+from spindle_daemon.components.routed.routed_answer import RoutedAnswer
+from spindle_daemon.components.routed.routed_request import RoutedRequest
+from spindle_daemon.components.routed.run_record import RunRecord
+from spindle_daemon.core.dialect import HeaderNames
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.http_limits_handler import ENVIRON_HANDLER, LimitsHandler
+from spindle_daemon.helpers.json_response import json_error
+from spindle_daemon.helpers.socket_caller import SocketCaller
+from spindle_decisions.exceptions import LeavingError, SpindleError
+from spindle_decisions.util.units import MS_PER_S
+
+_LOGGER = logging.getLogger(__name__)
+
+StartResponse = Callable[..., Any]
+CLOSE = ("Connection", "close")
+STATUS_CLOSED = 499
+STATUS_NOT_RUN = 503
+_HOST = "host"
+
+
+class RoutedApplication:
+    """Reads requests byte for byte and writes answers whole.
+
+    `refusing` is set late in a planned stop: requests that still arrive are refused
+    and their connection is closed.
+    """
+
+    def __init__(
+        self, spindle: Spindle, coordinator: RoutedCoordinator, names: HeaderNames, log: RoutedLog
+    ) -> None:
+        self.spindle = spindle
+        self.coordinator = coordinator
+        self.names = names
+        self.log = log
+        self.refusing = False
+
+    def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        handler: LimitsHandler = environ[ENVIRON_HANDLER]
+        answer = self._answer(handler)
+        if answer is None:
+            handler.close_connection = True
+            start(f"{STATUS_CLOSED} Client Closed Request", [("Content-Length", "0")])
+            return []
+        headers = list(answer.headers)
+        if self.spindle.leaving:
+            headers.append(CLOSE)
+        start(f"{answer.status} {answer.reason}".rstrip(), headers)
+        return [answer.body]
+
+    def _answer(self, handler: LimitsHandler) -> RoutedAnswer | None:
+        arrived_at = self.spindle.clock.now()
+        record = RunRecord()
+        request_id = handler.headers.get(self.names.request_id, "")
+        try:
+            if self.refusing:
+                handler.drop_body()
+                raise LeavingError("this instance is stopping")
+            request = self._request(handler, arrived_at, request_id)
+            answer = self.coordinator.serve(request, SocketCaller(handler.socket), record)
+        except SpindleError as err:
+            answer = self._refusal(err, request_id)
+            self.log.refused(request_id, arrived_at, record, err)
+            return answer
+        except Exception:
+            _LOGGER.exception("routed: request %s failed", request_id[:64])
+            return self._refusal(SpindleError("internal error"), request_id)
+        if answer is None:
+            self.log.left(request_id, arrived_at, record)
+        else:
+            self.log.answered(request_id, arrived_at, record, answer.status)
+        return answer
+
+    def _request(self, handler: LimitsHandler, arrived_at: float, request_id: str) -> RoutedRequest:
+        body = handler.read_body()
+        pairs = tuple(handler.headers.items())
+        dropped = frozenset((_HOST, self.names.deadline_ms, self.names.expect_upstream, "expect"))
+        target = handler.path
+        host = handler.headers.get(_HOST, "")
+        if "://" in target.partition("?")[0]:
+            parts = urllib.parse.urlsplit(target)
+            host = parts.netloc
+            target = (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
+        chunked = "chunked" in handler.headers.get("transfer-encoding", "").lower()
+        return RoutedRequest(
+            method=handler.command,
+            target=target,
+            host=host,
+            headers=end_to_end(pairs, dropped),
+            body=body,
+            has_body=chunked or handler.content_length is not None,
+            request_id=request_id,
+            deadline_s=_deadline_s(handler.headers.get(self.names.deadline_ms, "")),
+            arrived_at=arrived_at,
+        )
+
+    def _refusal(self, err: SpindleError, request_id: str) -> RoutedAnswer:
+        response = json_error(err, request_id)
+        headers = [("Content-Type", response.content_type), *response.headers]
+        if err.http_status == STATUS_NOT_RUN:
+            headers.append((self.names.retry_after, f"{const.COME_BACK_S:.2f}"))
+        return RoutedAnswer(err.http_status, err.code, tuple(headers), response.body)
+
+
+def _deadline_s(text: str) -> float:
+    if not text.isascii() or not text.strip().isdecimal():
+        return const.DEADLINE_NONE_S
+    return min(const.DEADLINE_NONE_S, int(text) / MS_PER_S)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -0,0 +1,81 @@
+"""Serving routed requests."""
+
+import logging
+
+from spindle_daemon.components.fleet.entry_desk import EntryDesk
+from spindle_daemon.components.fleet.plan_taken import PlanTaken
+from spindle_daemon.components.fleet.upstreams_taken import UpstreamsTaken
+from spindle_daemon.components.routed.gather_runner import GatherRunner
+from spindle_daemon.components.routed.routed_answer import RoutedAnswer
+from spindle_daemon.components.routed.routed_request import RoutedRequest
+from spindle_daemon.components.routed.run_record import RunRecord
+from spindle_daemon.components.routed.send_crew import SendCrew
+from spindle_daemon.components.routed.sender import Sender
+from spindle_daemon.components.routed.single_runner import SingleRunner
+from spindle_daemon.core.caller import Caller
+from spindle_daemon.core.dialect import Dialect
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.settings.routed_settings import RoutedSettings
+from spindle_decisions.exceptions import NoPlanError, UnknownRouteError
+from spindle_decisions.routing.budget_bounds import BudgetBounds
+from spindle_decisions.routing.plan import EMPTY_PLAN
+from spindle_decisions.routing.route_table import RouteTable
+from spindle_decisions.routing.serving_book import ServingBook
+from spindle_decisions.util.units import MS_PER_S
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class RoutedCoordinator:
+    """Follows plan and list, and runs each request to its end."""
+
+    def __init__(
+        self, spindle: Spindle, routed: RoutedSettings, dialect: Dialect, desk: EntryDesk
+    ) -> None:
+        self.spindle = spindle
+        self.desk = desk
+        self.table = RouteTable(EMPTY_PLAN)
+        bounds = BudgetBounds(
+            routed.budget_ratio, routed.budget_window_ms / MS_PER_S, routed.budget_burst
+        )
+        self.book = ServingBook(spindle.settings.instance.data_center, bounds, spindle.rng)
+        self.sender = Sender(spindle.clock, dialect.headers)
+        spindle.bus.listen(PlanTaken, self._take_plan)
+        spindle.bus.listen(UpstreamsTaken, self._take_upstreams)
+
+    def ready(self) -> bool:
+        """Return whether requests can be served from a plan that is surely the newest."""
+        return bool(self.table.plan.version and self.book.replicas.replicas and self.desk.sure())
+
+    def serve(
+        self, request: RoutedRequest, caller: Caller, record: RunRecord
+    ) -> RoutedAnswer | None:
+        """Return the answer, `None` if the caller left; raises `RefusalError`."""
+        if not self.table.plan.version:
+            raise NoPlanError("no plan is known yet")
+        route = self.table.find(request.host, request.target)
+        if route is None:
+            raise UnknownRouteError("no route for this host and path")
+        record.route = route.name
+        crew = SendCrew(self.spindle.clock, self.sender, request, record)
+        runner_type = GatherRunner if route.shards else SingleRunner
+        runner = runner_type(crew, self.book, route)
+        caller.watch(crew.caller_left)
+        try:
+            return runner.run()
+        finally:
+            caller.unwatch()
+
+    def _take_plan(self, event: PlanTaken) -> None:
+        self.table = RouteTable(event.plan)
+        self._share()
+
+    def _take_upstreams(self, event: UpstreamsTaken) -> None:
+        self.book.instances = event.instances
+        self.book.replicas.take_list(self.spindle.clock.now(), event.held.upstreams)
+        self._share()
+
+    def _share(self) -> None:
+        bounds = {item.name: item.max_connections for item in self.table.plan.services}
+        self.book.replicas.share_connections(bounds, self.book.instances)
+        self.sender.set_shares(self.book.replicas.replicas)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -0,0 +1,77 @@
+"""Carrying out a gathered request."""
+
+from spindle_daemon.components.routed.raw_reply import RawReply
+from spindle_daemon.components.routed.reply_judge import ReplyMeaning
+from spindle_daemon.components.routed.routed_answer import RoutedAnswer
+from spindle_daemon.components.routed.send_crew import SendCrew
+from spindle_daemon.components.routed.send_result import SendResult
+from spindle_daemon.components.routed.time_left import time_left_s
+from spindle_decisions.exceptions import DeadlineExceededError, OverloadedError, PartsFailedError
+from spindle_decisions.routing.gather import Gather
+from spindle_decisions.routing.part_send import PartSend
+from spindle_decisions.routing.records import greatest_records
+from spindle_decisions.routing.route import Route
+from spindle_decisions.routing.serving_book import ServingBook
+
+
+class GatherRunner:
+    """Carries out what a `Gather` decides and merges the parts."""
+
+    def __init__(self, crew: SendCrew, book: ServingBook, route: Route) -> None:
+        self.crew = crew
+        self.route = route
+        now = crew.clock.now()
+        self.gather = Gather(route, book, now, time_left_s(crew.request, route, now))
+
+    def run(self) -> RoutedAnswer | None:
+        """Return the answer, `None` if the caller left; raises `RefusalError`."""
+        gather, clock = self.gather, self.crew.clock
+        self._send(gather.start(clock.now()))
+        while gather.end is None and not self.crew.left:
+            for result in self.crew.wait(gather.wake_at()):
+                self._take(result)
+            if gather.end is None:
+                self._send(gather.tick(clock.now()))
+        if self.crew.left:
+            return None
+        self.crew.linger()
+        return self._answer()
+
+    def _send(self, sends: list[PartSend]) -> None:
+        for send in sends:
+            self.crew.send(send, self.gather.end_at, self.gather.usual, repeatable=True)
+
+    def _take(self, result: SendResult) -> None:
+        now = self.crew.clock.now()
+        token = result.send.token
+        if result.meaning is ReplyMeaning.GOOD:
+            self.gather.part(token, result.reply, now)
+            return
+        self.crew.record.failed(result)
+        self._send(self.gather.failure(token, now))
+
+    def _answer(self) -> RoutedAnswer:
+        end = self.gather.end
+        assert end is not None
+        shards = self.gather.shards
+        parts = [shard.part for shard in shards if isinstance(shard.part, RawReply)]
+        self.crew.record.gathered(end.reason, len(parts), len(shards))
+        if end.answered:
+            return self._merged(parts)
+        if not self.crew.record.sends:
+            raise OverloadedError("no upstream may be used now")
+        if end.reason == "deadline":
+            raise DeadlineExceededError("too few shards answered in time")
+        raise PartsFailedError("too few shards answered")
+
+    def _merged(self, parts: list[RawReply]) -> RoutedAnswer:
+        names = self.crew.sender.names
+        signatures = ", ".join(part.values[names.signature] for part in parts)
+        missing = len(self.gather.shards) - len(parts)
+        headers = (
+            (names.part_signatures, signatures),
+            (names.missing_parts, str(missing)),
+            (names.request_id, self.crew.request.request_id),
+        )
+        body = greatest_records([part.body for part in parts], self.route.top_records)
+        return RoutedAnswer(200, "OK", headers, body)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/headers.py
@@ -0,0 +1,39 @@
+"""Headers that concern one connection only."""
+
+from collections.abc import Iterable
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    )
+)
+_CONNECTION = "connection"
+
+
+def answer_headers(headers: Iterable[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
+    """Return the end-to-end headers of an answer."""
+    return end_to_end(headers, frozenset())
+
+
+def end_to_end(
+    headers: Iterable[tuple[str, str]], dropped: frozenset[str]
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers that travel on, without those named in `dropped`, in lower case."""
+    pairs = tuple(headers)
+    named = {
+        word.strip().lower()
+        for name, value in pairs
+        if name.lower() == _CONNECTION
+        for word in value.split(",")
+    }
+    left_out = _HOP_BY_HOP | dropped | named
+    return tuple((name, value) for name, value in pairs if name.lower() not in left_out)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/reply_parser.py
@@ -0,0 +1,55 @@
+"""The parser of one upstream answer."""
+
+from typing import Any
+
+from geventhttpclient.response import HTTPResponse
+
+
+class HeaderList:
+    """Headers in the order in which they came; what the parser library fills."""
+
+    def __init__(self) -> None:
+        self.pairs: list[tuple[str, str]] = []
+
+    def add(self, name: str, value: str) -> None:
+        """Append a header."""
+        self.pairs.append((name, value))
+
+    def get(self, name: str, default: Any = None) -> Any:
+        """Return the last value of a header."""
+        wanted = name.lower()
+        for key, value in reversed(self.pairs):
+            if key.lower() == wanted:
+                return value
+        return default
+
+    def clear(self) -> None:
+        """Forget all headers, as after an interim answer."""
+        self.pairs.clear()
+
+
+class ReplyParser(HTTPResponse):
+    """Parses one answer and notes bytes that came after it, which belong to nobody."""
+
+    def __init__(self, method: str) -> None:
+        super().__init__(method=method, headers_type=HeaderList)
+        self.extra = False
+
+    def _on_message_begin(self) -> None:
+        if self.done():
+            self.extra = True
+            raise ValueError("bytes after the answer")
+        super()._on_message_begin()
+
+    def done(self) -> bool:
+        """Return whether a final answer is complete."""
+        return bool(self.message_complete and self.get_code() >= 200)
+
+    def take(self, data: bytes) -> None:
+        """Feed bytes, or the end of the stream; an error after the answer is not one."""
+        try:
+            self.feed(data)
+        except Exception:
+            if not self.message_complete:
+                raise
+            self.extra = True
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/routed_answer.py
@@ -0,0 +1,13 @@
+"""The answer to a routed request."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutedAnswer:
+    """Status, headers and whole body as they go to the caller."""
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/run_record.py
@@ -0,0 +1,42 @@
+"""What happened to one routed request, for its log line."""
+
+from spindle_daemon.components.routed.send_result import SendResult
+from spindle_decisions.routing.part_send import PartSend
+from spindle_decisions.routing.send_cause import FIRST
+
+MAX_NOTES = 8
+
+
+class RunRecord:
+    """Sends by cause, the first failures, and how a gather ended."""
+
+    def __init__(self) -> None:
+        self.route = ""
+        self.sends = 0
+        self.repeats: dict[str, int] = {}
+        self.notes: list[str] = []
+        self.upstream = ""
+        self.end = ""
+        self.parts = 0
+        self.shards = 0
+
+    def sent(self, send: PartSend) -> None:
+        """Note a send."""
+        self.sends += 1
+        self.upstream = send.replica.upstream_id
+        if send.cause != FIRST:
+            self.repeats[send.cause] = self.repeats.get(send.cause, 0) + 1
+
+    def failed(self, result: SendResult) -> None:
+        """Note a send that brought nothing."""
+        if len(self.notes) < MAX_NOTES:
+            listed = result.send.replica.listed
+            self.notes.append(
+                f"{result.send.cause} {listed.service} {listed.upstream_id}: {result.reason}"[:160]
+            )
+
+    def gathered(self, end: str, parts: int, shards: int) -> None:
+        """Note why a gather ended and what it brought."""
+        self.end = end
+        self.parts = parts
+        self.shards = shards
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/send_error.py
@@ -0,0 +1,14 @@
+"""Why a send brought no answer."""
+
+
+class SendError(Exception):
+    """A send failed; `unsent` means that no byte of the request left.
+
+    `busy` means that this instance had no connection to spare, which says nothing of
+    the upstream.
+    """
+
+    def __init__(self, reason: str, unsent: bool, busy: bool = False) -> None:
+        super().__init__(reason)
+        self.unsent = unsent
+        self.busy = busy
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/send_result.py
@@ -0,0 +1,21 @@
+"""How one send ended."""
+
+import dataclasses
+
+from spindle_daemon.components.routed.raw_reply import RawReply
+from spindle_daemon.components.routed.reply_judge import ReplyMeaning
+from spindle_decisions.routing.part_send import PartSend
+
+
+@dataclasses.dataclass(frozen=True)
+class SendResult:
+    """The answer and its meaning, or why there is none.
+
+    `unsent` means that no byte of the request left this instance.
+    """
+
+    send: PartSend
+    reply: RawReply | None
+    meaning: ReplyMeaning | None
+    unsent: bool
+    reason: str
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/single_runner.py
@@ -0,0 +1,81 @@
+"""Carrying out a request that one upstream answers."""
+
+from spindle_daemon.components.routed.headers import answer_headers
+from spindle_daemon.components.routed.raw_reply import RawReply
+from spindle_daemon.components.routed.reply_judge import ReplyMeaning
+from spindle_daemon.components.routed.routed_answer import RoutedAnswer
+from spindle_daemon.components.routed.send_crew import SendCrew
+from spindle_daemon.components.routed.send_result import SendResult
+from spindle_daemon.components.routed.time_left import time_left_s
+from spindle_decisions.exceptions import (
+    DeadlineExceededError,
+    NotRunError,
+    OutcomeUnknownError,
+    OverloadedError,
+)
+from spindle_decisions.routing.part_send import PartSend
+from spindle_decisions.routing.route import Route
+from spindle_decisions.routing.serving_book import ServingBook
+from spindle_decisions.routing.single import Single
+
+
+class SingleRunner:
+    """Carries out what a `Single` decides and passes the upstream's answer on."""
+
+    def __init__(self, crew: SendCrew, book: ServingBook, route: Route) -> None:
+        self.crew = crew
+        self.route = route
+        now = crew.clock.now()
+        self.single = Single(route, book, now, time_left_s(crew.request, route, now))
+        self.good: RawReply | None = None
+        self.failure: RawReply | None = None
+
+    def run(self) -> RoutedAnswer | None:
+        """Return the answer, `None` if the caller left; raises `RefusalError`."""
+        single, clock = self.single, self.crew.clock
+        self._send(single.start(clock.now()))
+        while self.good is None and single.out and not self.crew.left:
+            if clock.now() >= single.end_at:
+                break
+            for result in self.crew.wait(single.wake_at()):
+                self._take(result)
+            if self.good is None:
+                self._send(single.tick(clock.now()))
+        if self.crew.left:
+            return None
+        self.crew.linger()
+        return self._answer()
+
+    def _send(self, send: PartSend | None) -> None:
+        if send is not None:
+            self.crew.send(send, self.single.end_at, self.single.usual, self.route.idempotent)
+
+    def _take(self, result: SendResult) -> None:
+        now = self.crew.clock.now()
+        token = result.send.token
+        if result.meaning is ReplyMeaning.GOOD:
+            self.single.answered(token, now)
+            self.good = result.reply
+            return
+        self.crew.record.failed(result)
+        if result.unsent:
+            self._send(self.single.unsent(token, now))
+        elif result.meaning in (ReplyMeaning.NOT_RUN, ReplyMeaning.MISPLACED):
+            self._send(self.single.not_run(token, now))
+        else:
+            if result.meaning is ReplyMeaning.FAILURE:
+                self.failure = result.reply
+            self._send(self.single.failed(token, now))
+
+    def _answer(self) -> RoutedAnswer:
+        reply = self.good or self.failure
+        if reply is not None:
+            headers = answer_headers(reply.headers)
+            return RoutedAnswer(reply.status, reply.reason, headers, reply.body)
+        if self.single.out:
+            raise DeadlineExceededError("no answer in time")
+        if self.single.ran:
+            raise OutcomeUnknownError("the upstream's answer was lost")
+        if self.crew.record.sends:
+            raise NotRunError("no upstream took the request")
+        raise OverloadedError("no upstream may be used now")
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/stop.py
@@ -0,0 +1,49 @@
+"""The planned stop of an instance that serves routes."""
+
+import logging
+
+import gevent
+
+from spindle_daemon.components.routed import const
+from spindle_daemon.components.routed.application import RoutedApplication
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.http_server import NoDelayServer
+from spindle_decisions.util.units import MS_PER_S
+
+_LOGGER = logging.getLogger(__name__)
+
+POLL_S = 0.05
+
+
+class RoutedStop:
+    """Unready at once, serve on while the balancer may send, then finish what runs.
+
+    Nothing in flight is cut off unless the time to stop is nearly over.
+    """
+
+    def __init__(
+        self,
+        spindle: Spindle,
+        application: RoutedApplication,
+        server: NoDelayServer,
+        stop_ms: int,
+    ) -> None:
+        self.spindle = spindle
+        self.application = application
+        self.server = server
+        self.stop_s = stop_ms / MS_PER_S - const.STOP_MARGIN_S
+
+    def run(self) -> None:
+        """Stop; returns when the last answer is written or time is up."""
+        clock = self.spindle.clock
+        started = clock.now()
+        gevent.sleep(min(const.STOP_LAG_S, self.stop_s))
+        self.application.refusing = True
+        while self.server.busy and clock.now() - started < self.stop_s:
+            gevent.sleep(POLL_S)
+        self.server.close()
+        _LOGGER.info(
+            "routed: closed with %s requests open",
+            self.server.busy,
+            extra={"event": "closed", "open": self.server.busy},
+        )
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/upstream_link.py
@@ -0,0 +1,95 @@
+"""One connection to an upstream."""
+
+import socket
+
+import gevent.socket
+
+from spindle_daemon.components.routed import const
+from spindle_daemon.components.routed.raw_reply import RawReply
+from spindle_daemon.components.routed.reply_parser import ReplyParser
+from spindle_daemon.components.routed.send_error import SendError
+
+_PEEK = socket.MSG_PEEK | socket.MSG_DONTWAIT
+_TCP_USER_TIMEOUT = 18
+
+
+class UpstreamLink:
+    """Carries one request at a time; after any failure it must be closed.
+
+    `idle_until` is when the upstream may close it while it is idle.
+    """
+
+    def __init__(self, sock: gevent.socket.socket) -> None:
+        self.sock = sock
+        self.idle_since = 0.0
+        self.idle_until = 0.0
+
+    def usable(self, now: float, fresh_s: float) -> bool:
+        """Return whether an idle connection may carry a request."""
+        if now >= self.idle_until or now - self.idle_since > fresh_s:
+            return False
+        try:
+            self.sock._sock.recv(1, _PEEK)
+        except BlockingIOError:
+            return True
+        except (OSError, AttributeError):
+            return False
+        return False
+
+    def exchange(self, method: str, request: bytes) -> RawReply:
+        """Send a request and read its whole answer; raise `SendError` when it is cut short."""
+        parser = ReplyParser(method)
+        try:
+            self.sock.sendall(request)
+            received = 0
+            while not parser.done():
+                data = self.sock.recv(const.RECEIVE_BYTES)
+                parser.take(data)
+                received += len(data)
+                if received > const.MAX_ANSWER_BYTES:
+                    raise SendError("answer is too long", unsent=False)
+                if not data:
+                    break
+        except SendError:
+            raise
+        except Exception as err:
+            raise SendError(f"{type(err).__name__}: {err}"[:200], unsent=False) from err
+        if not parser.done():
+            raise SendError("answer ends early", unsent=False)
+        return _reply(parser, at_end=not data)
+
+    def close(self) -> None:
+        """Close the connection, which cancels what runs on it."""
+        self.sock.close()
+
+
+def open_link(host: str, port: int) -> UpstreamLink:
+    """Connect; raise `SendError` when that takes too long or is refused."""
+    sock = gevent.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(const.CONNECT_TIMEOUT_S)
+        sock.connect((host, port))
+        sock.settimeout(None)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, _TCP_USER_TIMEOUT, const.USER_TIMEOUT_MS)
+    except OSError as err:
+        sock.close()
+        raise SendError(f"not connected: {err}"[:200], unsent=True) from err
+    except BaseException:
+        sock.close()
+        raise
+    return UpstreamLink(sock)
+
+
+def _reply(parser: ReplyParser, at_end: bool) -> RawReply:
+    pairs = tuple(parser.info().pairs)
+    values = {name.lower(): value for name, value in pairs}
+    keep = not parser.extra and not at_end and not parser.should_close()
+    return RawReply(
+        status=parser.status_code,
+        reason=parser.status_message or "",
+        headers=pairs,
+        values=values,
+        body=bytes(parser._body_buffer),
+        keep=keep,
+    )
--- a/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/serving/coordinator.py
@@ -6,7 +6,6 @@
 
 from spindle_daemon.components.serving import const
 from spindle_daemon.components.serving.body_table import BodyTable
-from spindle_daemon.components.serving.caller import Caller
 from spindle_daemon.components.serving.claims import Claims
 from spindle_daemon.components.serving.conclusion import answer_for, refusal_for
 from spindle_daemon.components.serving.metrics import ServingMetrics
@@ -21,6 +20,7 @@
 from spindle_daemon.components.serving.timeline_notes import TimelineNotes
 from spindle_daemon.components.serving.upstream_channel import UpstreamChannel
 from spindle_daemon.components.serving.upstream_news import UpstreamNews
+from spindle_daemon.core.caller import Caller
 from spindle_daemon.core.catalog_taken import CatalogTaken
 from spindle_daemon.core.live_changed import LiveChanged
 from spindle_daemon.core.spindle import Spindle
--- a/packages/daemon/src/spindle_daemon/daemon.py
+++ b/packages/daemon/src/spindle_daemon/daemon.py
@@ -2,10 +2,6 @@
 
 import logging
 import random
-import signal
-
-import gevent
-from gevent.event import Event
 
 from spindle_daemon.components import account as account_component
 from spindle_daemon.components import (
@@ -20,18 +16,18 @@
 from spindle_daemon.components import serving as serving_component
 from spindle_daemon.core.clock import SystemClock
 from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.process import read_key, wait_for_signal
 from spindle_daemon.mesh.transport import Transport
 from spindle_daemon.settings.const import ROLE_CONTROL
 from spindle_daemon.settings.settings import Settings
 from spindle_daemon.storage.summary_files import SummaryFiles, create_summary_files
-from spindle_decisions.exceptions import FrameError, SettingsError
+from spindle_decisions.exceptions import FrameError
 from spindle_decisions.timeline.event_kind import EventKind
 from spindle_decisions.timeline.hybrid_clock import HybridClock
 from spindle_decisions.wire.frame_codec import FrameCodec
 
 _LOGGER = logging.getLogger(__name__)
 
-MIN_KEY_BYTES = 16
 SUMMARY_FOLDER = "summaries"
 
 
@@ -49,7 +45,7 @@
     process_metrics.setup(spindle)
     _setup_role(spindle, key)
     spindle.transport.start()
-    _wait_for_signal()
+    wait_for_signal()
     _LOGGER.info("daemon: stopping")
     spindle.timeline.add(EventKind.PROCESS_STOPPING, "asked to stop")
     spindle.stop()
@@ -57,20 +53,6 @@
     _LOGGER.info("daemon: stopped after %s ms", clock.wall_ms() - spindle.incarnation)
 
 
-def read_key(settings: Settings) -> bytes:
-    """Read the shared key; raise `SettingsError` when it is missing or too short."""
-    path = settings.instance.key_file
-    try:
-        key = path.read_bytes().strip()
-    except OSError as err:
-        raise SettingsError(f"[instance] key-file = {path}: cannot be read: {err}") from err
-    if len(key) < MIN_KEY_BYTES:
-        raise SettingsError(
-            f"[instance] key-file = {path}: allowed: at least {MIN_KEY_BYTES} bytes"
-        )
-    return key
-
-
 def _setup_role(spindle: Spindle, key: bytes) -> None:
     app = admin.setup(spindle, key)
     timeline.register(spindle, app)
@@ -93,12 +75,5 @@
     return create_summary_files(settings.instance.data_dir / SUMMARY_FOLDER)
 
 
-def _wait_for_signal() -> None:
-    stop = Event()
-    gevent.signal_handler(signal.SIGTERM, stop.set)
-    gevent.signal_handler(signal.SIGINT, stop.set)
-    stop.wait()
-
-
 def _note_bad_frame(spindle: Spindle, err: FrameError) -> None:
     spindle.timeline.add(EventKind.FRAME_DROPPED, str(err))
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/fleet_control.py
@@ -0,0 +1,49 @@
+"""The role `control` in a fleet."""
+
+import gevent
+
+from spindle_daemon.components import plan_api
+from spindle_daemon.components.control.driver_setup import create_driver
+from spindle_daemon.components.control.propose_service import ProposeService
+from spindle_daemon.components.control_link.proposal_client import ProposalClient
+from spindle_daemon.components.fleet.control_desk import ControlDesk
+from spindle_daemon.core.dialect import Dialect
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.storage.patient_open import open_when_writable
+from spindle_decisions.commands.command import Result
+from spindle_decisions.commands.plan_replaced import PlanReplaced
+from spindle_decisions.wire.raft_packet import RaftPacket
+
+
+def setup_control(spindle: Spindle, dialect: Dialect) -> None:
+    """Take part in the agreement, meet the fleet and answer operators."""
+    settings = spindle.settings
+    assert settings.fleet is not None
+    assert settings.instance.data_dir is not None
+    folder = open_when_writable(settings.instance.data_dir, gevent.sleep)
+    restored = folder.restore()
+    desk: ControlDesk | None = None
+
+    def address_of(name: str) -> str | None:
+        return desk.address_of(name) if desk is not None else None
+
+    driver = create_driver(spindle, folder, restored, address_of, auto_join=True)
+    desk = ControlDesk(spindle, settings.fleet, dialect, driver, restored.folder_id)
+    transport = spindle.transport
+    transport.handle(RaftPacket, lambda _sender, packet: driver.receive(packet))
+    ProposeService(spindle.clock, transport, driver, address_of)
+    own = settings.mesh.advertise
+    spindle.control = ProposalClient(spindle.clock, transport, own, lambda _attempt: own)
+    push = desk.push_plan
+
+    def on_applied(result: Result) -> None:
+        if isinstance(result, PlanReplaced) and result.changed:
+            push()
+
+    driver.on_applied.append(on_applied)
+    driver.on_restored.append(push)
+    driver.start()
+    desk.start()
+    plan_api.setup(spindle, dialect, driver)
+    spindle.on_stop(folder.close)
+    spindle.ready = True
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/fleet_daemon.py
@@ -0,0 +1,55 @@
+"""Start and planned stop of a process that serves routes in a fleet."""
+
+import logging
+import random
+from collections.abc import Callable
+
+from spindle_daemon.components import admin, process_metrics, timeline
+from spindle_daemon.core.clock import SystemClock
+from spindle_daemon.core.dialect import Dialect
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.process import read_key, wait_for_signal
+from spindle_daemon.mesh.transport import Transport
+from spindle_daemon.settings.settings import Settings
+from spindle_decisions.timeline.event_kind import EventKind
+from spindle_decisions.timeline.hybrid_clock import HybridClock
+from spindle_decisions.wire.frame_codec import FrameCodec
+
+_LOGGER = logging.getLogger(__name__)
+
+SetupRole = Callable[[Spindle, Dialect], None]
+
+
+def run_fleet(settings: Settings, dialect: Dialect, setup_role: SetupRole) -> None:
+    """Run the process until SIGTERM or SIGINT, then stop as planned.
+
+    `setup_role` sets up what the role needs, so that no process loads the other role.
+    """
+    key = read_key(settings)
+    clock = SystemClock()
+    hybrid = HybridClock(clock.wall_ms)
+    spindle = Spindle(settings, clock, random.Random(), incarnation=clock.wall_ms())
+    spindle.transport = Transport(
+        settings.instance.name, settings.mesh.listen, FrameCodec(key), hybrid
+    )
+    timeline.setup(spindle, hybrid)
+    process_metrics.setup(spindle)
+    app = admin.setup(spindle, key)
+    timeline.register(spindle, app)
+    _LOGGER.info(
+        "daemon: started",
+        extra={
+            "event": "started",
+            "role": settings.instance.role,
+            "data_center": settings.instance.data_center,
+        },
+    )
+    spindle.transport.start()
+    setup_role(spindle, dialect)
+    wait_for_signal()
+    _LOGGER.info("daemon: stopping", extra={"event": "stopping"})
+    spindle.timeline.add(EventKind.PROCESS_STOPPING, "asked to stop")
+    spindle.stop()
+    spindle.transport.close()
+    _LOGGER.info("daemon: stopped", extra={"event": "stopped"})
+    logging.shutdown()
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/fleet_entry.py
@@ -0,0 +1,16 @@
+"""The role `entry` in a fleet."""
+
+from spindle_daemon.components import routed
+from spindle_daemon.components.fleet.entry_desk import EntryDesk
+from spindle_daemon.core.dialect import Dialect
+from spindle_daemon.core.spindle import Spindle
+
+
+def setup_entry(spindle: Spindle, dialect: Dialect) -> None:
+    """Serve routed requests."""
+    fleet = spindle.settings.fleet
+    assert fleet is not None
+    desk = EntryDesk(spindle, fleet, dialect)
+    spindle.on_stop(desk.leave)
+    routed.setup(spindle, dialect, desk)
+    desk.start()
--- a/packages/daemon/src/spindle_daemon/helpers/log_setup.py
+++ b/packages/daemon/src/spindle_daemon/helpers/log_setup.py
@@ -5,6 +5,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from spindle_daemon.helpers.log_writer import LogWriter
+
 LOG_FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
@@ -15,3 +17,13 @@
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
+
+
+def setup_stdout_logging(level: str, instance: str) -> None:
+    """Write one JSON object per line to standard output, which never holds up the loop."""
+    writer = LogWriter(sys.stdout.fileno())
+    writer.setFormatter(JsonFormatter("%(levelname)s %(message)s", static_fields={"at": instance}))
+    writer.start()
+    root = logging.getLogger()
+    root.handlers = [writer]
+    root.setLevel(level.upper())
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/helpers/log_writer.py
@@ -0,0 +1,74 @@
+"""Writing log lines without ever waiting for whoever reads them."""
+
+import collections
+import logging
+import os
+
+import gevent
+from gevent.event import Event
+
+MAX_WAITING_LINES = 2_000
+RETRY_S = 0.05
+
+
+class LogWriter(logging.Handler):
+    """Queues lines and writes them from the loop to a descriptor that does not block.
+
+    When the reader is slow the oldest lines are kept and newer ones are counted and
+    left out; a line says how many, once there is room again.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.lines: collections.deque[bytes] = collections.deque()
+        self.left_out = 0
+        self.wanted = Event()
+        os.set_blocking(descriptor, False)
+
+    def start(self) -> None:
+        """Start the greenlet that writes."""
+        gevent.spawn(self._write_forever)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue one line."""
+        if len(self.lines) >= MAX_WAITING_LINES:
+            self.left_out += 1
+            return
+        try:
+            self.lines.append(self.format(record).encode() + b"\n")
+        except Exception:
+            self.handleError(record)
+            return
+        self.wanted.set()
+
+    def flush(self) -> None:
+        """Write what can be written now."""
+        while self.lines and self._write(self.lines[0]):
+            self.lines.popleft()
+
+    def _write_forever(self) -> None:
+        while True:
+            self.wanted.wait()
+            self.wanted.clear()
+            self.flush()
+            if self.lines:
+                gevent.sleep(RETRY_S)
+                self.wanted.set()
+            elif self.left_out:
+                count, self.left_out = self.left_out, 0
+                logging.getLogger(__name__).warning(
+                    "log: lines left out", extra={"event": "lines-left-out", "count": count}
+                )
+
+    def _write(self, line: bytes) -> bool:
+        try:
+            written = os.write(self.descriptor, line)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        if written < len(line):
+            self.lines[0] = line[written:]
+            return False
+        return True
--- a/packages/daemon/src/spindle_daemon/settings/const.py
+++ b/packages/daemon/src/spindle_daemon/settings/const.py
@@ -9,6 +9,8 @@
 SECTION_CONTROLS = "controls"
 SECTION_PEERS = "peers"
 SECTION_PLATFORM = "platform"
+SECTION_FLEET = "fleet"
+SECTION_ROUTED = "routed"
 
 CONF_NAME = "name"
 CONF_DATA_CENTER = "data-center"
@@ -39,6 +41,16 @@
 CONF_SNAPSHOT_EVERY = "snapshot-every"
 CONF_GROUP_COMMIT = "group-commit"
 CONF_LIST_FILE = "list-file"
+CONF_SEEDS = "seeds"
+CONF_SEED_PORT = "seed-port"
+CONF_FOUNDING = "founding"
+CONF_UPSTREAM_LIST = "upstream-list"
+CONF_READY_LISTEN = "ready-listen"
+CONF_OPERATOR_LISTEN = "operator-listen"
+CONF_STOP_MS = "stop-ms"
+CONF_BUDGET_RATIO = "budget-ratio"
+CONF_BUDGET_WINDOW_MS = "budget-window-ms"
+CONF_BUDGET_BURST = "budget-burst"
 
 DEFAULT_LOG_LEVEL = "info"
 DEFAULT_MAX_BODY_BYTES = 64 * 1024
@@ -52,6 +64,10 @@
 DEFAULT_ELECTION_MAX_MS = 1_200
 DEFAULT_LEASE_MS = 2_000
 DEFAULT_SNAPSHOT_EVERY = 1_000
+DEFAULT_STOP_MS = 6_000
+DEFAULT_BUDGET_RATIO = 0.2
+DEFAULT_BUDGET_WINDOW_MS = 10_000
+DEFAULT_BUDGET_BURST = 50
 
 ROLE_ENTRY = "entry"
 ROLE_CONTROL = "control"
--- a/packages/daemon/src/spindle_daemon/settings/loader.py
+++ b/packages/daemon/src/spindle_daemon/settings/loader.py
@@ -9,9 +9,11 @@
 from spindle_daemon.settings import const, schema
 from spindle_daemon.settings.control_settings import ControlSettings
 from spindle_daemon.settings.entry_settings import EntrySettings
+from spindle_daemon.settings.fleet_settings import FleetSettings
 from spindle_daemon.settings.instance_address import InstanceAddress
 from spindle_daemon.settings.instance_settings import InstanceSettings
 from spindle_daemon.settings.mesh_settings import MeshSettings
+from spindle_daemon.settings.routed_settings import RoutedSettings
 from spindle_daemon.settings.serving_settings import ServingSettings
 from spindle_daemon.settings.settings import Settings
 from spindle_decisions.exceptions import SettingsError
@@ -26,6 +28,8 @@
     const.SECTION_CONTROLS,
     const.SECTION_PEERS,
     const.SECTION_PLATFORM,
+    const.SECTION_FLEET,
+    const.SECTION_ROUTED,
 )
 MAX_CONTROLS = 7
 
@@ -51,12 +55,14 @@
             mesh[const.CONF_LISTEN], mesh.get(const.CONF_ADVERTISE, mesh[const.CONF_LISTEN])
         ),
         admin=admin[const.CONF_LISTEN],
-        controls=_controls(parser),
+        controls=() if parser.has_section(const.SECTION_FLEET) else _controls(parser),
         peers=_addresses(parser, const.SECTION_PEERS),
         platform_list=_platform_list(parser),
         serving=_serving(_section(parser, const.SECTION_SERVING, schema.SERVING_SCHEMA)),
         entry=_entry(parser, instance),
         control=_control(parser, instance),
+        fleet=_fleet(parser),
+        routed=_routed(parser, instance),
     )
 
 
@@ -164,6 +170,37 @@
     return controls
 
 
+def _fleet(parser: configparser.ConfigParser) -> FleetSettings | None:
+    if not parser.has_section(const.SECTION_FLEET):
+        return None
+    values = _section(parser, const.SECTION_FLEET, schema.FLEET_SCHEMA)
+    port = values[const.CONF_SEED_PORT]
+    return FleetSettings(
+        seeds=tuple(f"{schema.MESH_SCHEME}{host}:{port}" for host in values[const.CONF_SEEDS]),
+        founding=values[const.CONF_FOUNDING],
+        upstream_list=values[const.CONF_UPSTREAM_LIST],
+    )
+
+
+def _routed(parser: configparser.ConfigParser, instance: InstanceSettings) -> RoutedSettings | None:
+    if not parser.has_section(const.SECTION_ROUTED):
+        return None
+    values = _section(parser, const.SECTION_ROUTED, schema.ROUTED_SCHEMA)
+    needed = const.CONF_READY_LISTEN
+    if instance.role == const.ROLE_CONTROL:
+        needed = const.CONF_OPERATOR_LISTEN
+    if needed not in values:
+        raise SettingsError(f"[{const.SECTION_ROUTED}] {needed} = missing: allowed: IP:PORT")
+    return RoutedSettings(
+        ready_listen=values.get(const.CONF_READY_LISTEN),
+        operator_listen=values.get(const.CONF_OPERATOR_LISTEN),
+        stop_ms=values[const.CONF_STOP_MS],
+        budget_ratio=values[const.CONF_BUDGET_RATIO],
+        budget_window_ms=values[const.CONF_BUDGET_WINDOW_MS],
+        budget_burst=values[const.CONF_BUDGET_BURST],
+    )
+
+
 def _platform_list(parser: configparser.ConfigParser) -> pathlib.Path | None:
     values = _section(parser, const.SECTION_PLATFORM, schema.PLATFORM_SCHEMA)
     text = values.get(const.CONF_LIST_FILE)
--- a/packages/daemon/src/spindle_daemon/settings/schema.py
+++ b/packages/daemon/src/spindle_daemon/settings/schema.py
@@ -64,6 +64,25 @@
     return check
 
 
+def fraction(value: str) -> float:
+    """Check a number from 0 to 1."""
+    try:
+        number_read = float(value)
+    except ValueError:
+        number_read = -1.0
+    if not 0.0 <= number_read <= 1.0:
+        raise vol.Invalid("allowed: a number from 0 to 1")
+    return number_read
+
+
+def hosts(value: str) -> tuple[str, ...]:
+    """Check a list of `ip:port` or `ip`, separated by commas; return the IP numbers."""
+    items = [item.strip() for item in value.split(",") if item.strip()]
+    if not items:
+        raise vol.Invalid("allowed: IP:PORT, separated by commas")
+    return tuple(endpoint(item).host for item in items)
+
+
 def one_of(*words: str) -> Any:
     """Return a validator for one of some words."""
 
@@ -143,5 +162,25 @@
         **_switch_on(const.CONF_GROUP_COMMIT),
     }
 )
+FLEET_SCHEMA = vol.Schema(
+    {
+        vol.Required(const.CONF_SEEDS): hosts,
+        vol.Required(const.CONF_SEED_PORT): number(1, MAX_PORT),
+        vol.Optional(const.CONF_FOUNDING, default="no"): switch,
+        vol.Required(const.CONF_UPSTREAM_LIST): endpoint,
+    }
+)
+ROUTED_SCHEMA = vol.Schema(
+    {
+        vol.Optional(const.CONF_READY_LISTEN): endpoint,
+        vol.Optional(const.CONF_OPERATOR_LISTEN): endpoint,
+        **_optional_number(const.CONF_STOP_MS, const.DEFAULT_STOP_MS, 500, 600_000),
+        vol.Optional(const.CONF_BUDGET_RATIO, default=str(const.DEFAULT_BUDGET_RATIO)): fraction,
+        **_optional_number(
+            const.CONF_BUDGET_WINDOW_MS, const.DEFAULT_BUDGET_WINDOW_MS, 100, 600_000
+        ),
+        **_optional_number(const.CONF_BUDGET_BURST, const.DEFAULT_BUDGET_BURST, 0, 1_000_000),
+    }
+)
 PLATFORM_SCHEMA = vol.Schema({vol.Optional(const.CONF_LIST_FILE): str})
 ADDRESSES_SCHEMA = vol.Schema({name: mesh_address})
--- a/packages/decisions/src/spindle_decisions/commands/command.py
+++ b/packages/decisions/src/spindle_decisions/commands/command.py
@@ -10,10 +10,21 @@
 from spindle_decisions.commands.note_applied import NoteApplied
 from spindle_decisions.commands.note_refused import NoteRefused
 from spindle_decisions.commands.outcome_recorded import OutcomeRecorded
+from spindle_decisions.commands.plan_replaced import PlanReplaced
+from spindle_decisions.commands.read_plan import ReadPlan
 from spindle_decisions.commands.record_outcome import RecordOutcome
-
-Command = ApplyNote | ClaimRun | RecordOutcome
-Result = NoteApplied | NoteRefused | ClaimGranted | ClaimHeld | ClaimRefused | OutcomeRecorded
+from spindle_decisions.commands.replace_plan import ReplacePlan
+
+Command = ApplyNote | ClaimRun | RecordOutcome | ReplacePlan | ReadPlan
+Result = (
+    NoteApplied
+    | NoteRefused
+    | ClaimGranted
+    | ClaimHeld
+    | ClaimRefused
+    | OutcomeRecorded
+    | PlanReplaced
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Command)
--- a/packages/decisions/src/spindle_decisions/consensus/node_state.py
+++ b/packages/decisions/src/spindle_decisions/consensus/node_state.py
@@ -29,7 +29,8 @@
 
     `candidacy` is `PRE_CANDIDATE`, `CANDIDATE` or `LEADER` while the node is one
     of them and `None` otherwise. `forced` is a membership that an operator imposed
-    and that no leader has put into the log yet.
+    and that no leader has put into the log yet. `other_peers` are control instances
+    that were met since the start, beside those of the settings.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         self.forced_until = 0.0
         self.voters_of: MembershipSet | None = None
         self.known_voters: tuple[Member, ...] = ()
+        self.other_peers: frozenset[str] = frozenset()
         self.events: list[RaftEvent] = []
         self.reads_ready: list[ReadReady] = []
         self.restore: Snapshot | None = None
--- a/packages/decisions/src/spindle_decisions/consensus/progress.py
+++ b/packages/decisions/src/spindle_decisions/consensus/progress.py
@@ -12,7 +12,8 @@
 
     `match_index` is on the disk of the member, `next_index` is sent next.
     `contact_at` is when the leader started the newest round that the member
-    answered; the answer itself may have come much later. `told_commit` is the
+    answered; the answer itself may have come much later. `followed_at` is when this
+    leader began to feed the member. `told_commit` is the
     commit index in the newest message to the member.
     """
 
@@ -22,6 +23,7 @@
     mode: ProgressMode = ProgressMode.PROBE
     paused: bool = False
     contact_at: float = -math.inf
+    followed_at: float = -math.inf
     acked_round: int = -1
     snapshot_sent_at: float = -math.inf
     told_commit: int = 0
--- a/packages/decisions/src/spindle_decisions/consensus/raft_node.py
+++ b/packages/decisions/src/spindle_decisions/consensus/raft_node.py
@@ -115,6 +115,7 @@
         lead = self.advance(now)
         if lead:
             self.replication.tick(lead)
+            self.repair.retire_silent(lead)
             return
         self.elections.tick()
         self.repair.tick()
@@ -220,6 +221,10 @@
             raise NotLeaderError(self.state.leader)
         return lead
 
+    def met(self, names: frozenset[str]) -> None:
+        """Take in which control instances were met, to ask them for admission."""
+        self.state.other_peers = names
+
     def bootstrap(self, membership: MembershipSet) -> None:
         """Give a blank node its first membership; an identical repeat changes nothing.
 
--- a/packages/decisions/src/spindle_decisions/consensus/repair.py
+++ b/packages/decisions/src/spindle_decisions/consensus/repair.py
@@ -48,7 +48,7 @@
 
     def known_names(self) -> list[str]:
         """Return the names of all other instances that may lead."""
-        names = set(self.state.settings.peers)
+        names = set(self.state.settings.peers) | self.state.other_peers
         names.update(member.name for member in self.state.membership.members)
         names.discard(self.state.name)
         return sorted(names)
@@ -59,12 +59,61 @@
             self.requests[message.sender] = message.sender_folder
         member = self.state.membership.find(message.sender)
         if member is None:
-            self.refuse(message.sender, "not a member; an operator may add it")
+            self.admit(lead, message)
             return
         if member.folder_id == message.sender_folder or not self.changes.is_idle(lead):
             return
         self.replace(lead, message)
 
+    def admit(self, lead: Leadership, message: JoinRequest) -> None:
+        """Take in a newcomer as a learner, if the settings let it join by itself."""
+        if not self.state.settings.auto_join:
+            self.refuse(message.sender, "not a member; an operator may add it")
+            return
+        if self.changes.is_idle(lead):
+            reason = f"{message.sender} asked to join"
+            change = MembershipChange(
+                MembershipChangeKind.ADD_LEARNER, message.sender, message.sender_folder, reason
+            )
+            self.take_step(lead, change)
+
+    def retire_silent(self, lead: Leadership) -> None:
+        """Take out a voter that was silent for long, while enough others are live.
+
+        A machine that was replaced never comes back, and its vote would go on counting
+        towards the majority. One that was only cut off asks to be taken in again.
+        """
+        settings = self.state.settings
+        if not settings.auto_join or not self.changes.is_idle(lead):
+            return
+        silent = [name for name in self.silent_members(lead) if name != self.state.name]
+        voters = {member.name for member in self.state.voters}
+        for name in silent:
+            if name in voters and len(voters - set(silent)) < settings.retire_keeps:
+                continue
+            reason = f"{name} was silent for {settings.retire_s:.0f} s"
+            self.take_step(lead, MembershipChange(MembershipChangeKind.REMOVE, name, reason=reason))
+            return
+
+    def silent_members(self, lead: Leadership) -> list[str]:
+        """Return the members that were not heard for `retire_s` of this leadership."""
+        since = self.state.now - self.state.settings.retire_s
+        return [
+            name
+            for name, progress in lead.progress.items()
+            if max(progress.contact_at, progress.followed_at) < since
+        ]
+
+    def take_step(self, lead: Leadership, change: MembershipChange) -> None:
+        """Propose a change of the membership, or say why not."""
+        try:
+            self.changes.propose(lead, change)
+        except MembershipChangeError as err:
+            self.refuse(change.name, str(err))
+            return
+        self.refusals.pop(change.name, None)
+        self.state.record(RaftEventKind.REPAIR_STEP, change.reason, change.name)
+
     def replace(self, lead: Leadership, message: JoinRequest) -> None:
         """Take the folder in as a learner unless the change is refused."""
         change = MembershipChange(
@@ -73,13 +122,7 @@
             message.sender_folder,
             f"{message.sender} came back with another data folder",
         )
-        try:
-            self.changes.propose(lead, change)
-        except MembershipChangeError as err:
-            self.refuse(message.sender, str(err))
-            return
-        self.refusals.pop(message.sender, None)
-        self.state.record(RaftEventKind.REPAIR_STEP, change.reason, message.sender)
+        self.take_step(lead, change)
 
     def refuse(self, name: str, reason: str) -> None:
         """Put a refusal on the time line once, not at every request."""
@@ -106,9 +149,4 @@
         """Propose the promotion of a learner."""
         reason = f"{member.name} holds the whole log"
         change = MembershipChange(MembershipChangeKind.PROMOTE, member.name, reason=reason)
-        try:
-            self.changes.propose(lead, change)
-        except MembershipChangeError as err:
-            self.refuse(member.name, str(err))
-            return
-        self.state.record(RaftEventKind.REPAIR_STEP, reason, member.name)
+        self.take_step(lead, change)
--- a/packages/decisions/src/spindle_decisions/consensus/replication.py
+++ b/packages/decisions/src/spindle_decisions/consensus/replication.py
@@ -41,7 +41,7 @@
                 continue
             known = lead.progress.get(member.name)
             if known is None or known.folder_id != member.folder_id:
-                known = Progress(member.folder_id, next_index)
+                known = Progress(member.folder_id, next_index, followed_at=state.now)
             kept[member.name] = known
         lead.progress = kept
 
--- a/packages/decisions/src/spindle_decisions/consensus/settings.py
+++ b/packages/decisions/src/spindle_decisions/consensus/settings.py
@@ -14,7 +14,9 @@
     refuses its vote to others for `election_min_s` after such word. `lease_s`
     is the age of the last contact with a quorum after which the node calls
     itself stale. `keep_entries` entries stay in memory behind a snapshot, so
-    that a member which is only a little behind needs no snapshot.
+    that a member which is only a little behind needs no snapshot. With
+    `auto_join` a leader takes in whoever asks, and takes a voter out that was silent
+    for `retire_s` while at least `retire_keeps` others are live.
     """
 
     name: str
@@ -26,3 +28,6 @@
     max_append_bytes: int = 256 * 1024
     max_inflight_entries: int = 4096
     keep_entries: int = 1024
+    auto_join: bool = False
+    retire_s: float = 4.0
+    retire_keeps: int = 3
--- a/packages/decisions/src/spindle_decisions/exceptions.py
+++ b/packages/decisions/src/spindle_decisions/exceptions.py
@@ -34,6 +34,13 @@
     http_status = 409
 
 
+class PlanError(SpindleError):
+    """A plan of routes is malformed or cannot be in force; nothing changed."""
+
+    code = "plan-invalid"
+    http_status = 400
+
+
 class RefusalError(SpindleError):
     """An honest refusal to a caller."""
 
@@ -55,6 +62,27 @@
     http_status = 404
 
 
+class UnknownRouteError(RefusalError):
+    """The plan in force has no route for the request; nothing ran."""
+
+    code = "unknown-route"
+    http_status = 404
+
+
+class NoPlanError(RefusalError):
+    """This instance holds no plan yet; nothing ran."""
+
+    code = "no-plan"
+    http_status = 503
+
+
+class PartsFailedError(RefusalError):
+    """Too few shards answered; some of them may have run the request."""
+
+    code = "parts-failed"
+    http_status = 502
+
+
 class DeadlineExceededError(RefusalError):
     """The deadline passed before an answer with enough coverage was complete."""
 
@@ -179,6 +207,12 @@
     code = "unreachable"
 
 
+class UpstreamListError(ControlError):
+    """The platform's list of upstreams could not be read in full."""
+
+    code = "upstream-list"
+
+
 class AnswerLostError(ControlError):
     """A request was sent and its answer was lost; it may have taken effect."""
 
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/fleet/const.py
@@ -0,0 +1,19 @@
+"""Times and bounds of the fleet."""
+
+# A process that nobody heard for this long does not count as live.
+LIVE_S = 3.0
+# Entry instances count longer towards shares, so that a short cut frees nothing.
+SHARE_S = 8.0
+FORGET_S = 30.0
+# Silence after which a link is dialled anew.
+REDIAL_S = 1.2
+# The control instances that an entry instance beats to.
+BEAT_TARGETS = 3
+# Age of the list of upstreams at which the leader, the others by rank, and at last
+# the entry instances read it.
+READ_LEADER_S = 0.9
+READ_FOLLOWER_S = 2.0
+READ_RANK_S = 0.5
+READ_ENTRY_S = 4.5
+ROLE_CONTROL = "control"
+ROLE_ENTRY = "entry"
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/fleet/fleet_table.py
@@ -0,0 +1,64 @@
+"""Which processes of the fleet were heard, and when."""
+
+from spindle_decisions.fleet import const
+from spindle_decisions.util.units import MS_PER_S
+from spindle_decisions.wire.fleet_instance import FleetInstance
+from spindle_decisions.wire.heard_instance import HeardInstance
+
+
+class FleetTable:
+    """Every process by name, with the time at which anybody heard it last.
+
+    A later start of a process replaces an earlier one, whoever tells of it.
+    """
+
+    def __init__(self) -> None:
+        self.instances: dict[str, FleetInstance] = {}
+        self.heard_at: dict[str, float] = {}
+
+    def heard(self, now: float, instance: FleetInstance) -> None:
+        """Note that a process was heard at `now`."""
+        known = self.instances.get(instance.name)
+        if known is not None and known.incarnation > instance.incarnation:
+            return
+        self.instances[instance.name] = instance
+        self.heard_at[instance.name] = max(now, self.heard_at.get(instance.name, now))
+
+    def told(self, now: float, heard: HeardInstance) -> None:
+        """Take in that another process heard a process some time ago."""
+        if heard.age_ms < const.FORGET_S * MS_PER_S:
+            self.heard(now - heard.age_ms / MS_PER_S, heard.instance)
+
+    def left(self, name: str) -> None:
+        """Forget a process that said it leaves."""
+        self.instances.pop(name, None)
+        self.heard_at.pop(name, None)
+
+    def expire(self, now: float) -> list[FleetInstance]:
+        """Forget and return the processes that were silent for long."""
+        gone = [name for name, at in self.heard_at.items() if now - at > const.FORGET_S]
+        expired = [self.instances[name] for name in gone]
+        for name in gone:
+            self.left(name)
+        return expired
+
+    def age(self, now: float, name: str) -> float:
+        """Return the seconds since a process was heard, infinity if never."""
+        at = self.heard_at.get(name)
+        return float("inf") if at is None else now - at
+
+    def lately(self, now: float, role: str, within_s: float) -> list[FleetInstance]:
+        """Return the processes of a role that were heard lately, by name."""
+        return [
+            self.instances[name]
+            for name in sorted(self.instances)
+            if self.instances[name].role == role and now - self.heard_at[name] <= within_s
+        ]
+
+    def report(self, now: float, role: str | None = None) -> tuple[HeardInstance, ...]:
+        """Return all processes, or those of a role, as they are told to others."""
+        return tuple(
+            HeardInstance(instance, max(0, int((now - self.heard_at[name]) * MS_PER_S)))
+            for name, instance in self.instances.items()
+            if role is None or instance.role == role
+        )
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/fleet/founding.py
@@ -0,0 +1,36 @@
+"""The first membership of a new deployment."""
+
+from spindle_decisions.consensus.member import Member
+from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.wire.fleet_hello import FleetHello
+
+
+class Founding:
+    """Waits until every seed has said which data folder it has.
+
+    All seeds make the same membership from the same words, so none of them has to
+    lead, and whoever founds twice founds the same. A process that does not start the
+    deployment, or is no seed, never founds: it asks to be taken in.
+    """
+
+    def __init__(self, address: str, name: str, folder_id: str, seeds: tuple[str, ...]) -> None:
+        self.seeds = seeds
+        self.members: dict[str, Member] = {}
+        self.is_seed = address in seeds
+        self.take(address, name, folder_id)
+
+    def heard(self, hello: FleetHello) -> None:
+        """Take in what a control instance says of itself."""
+        if hello.founding:
+            self.take(hello.instance.address, hello.instance.name, hello.folder_id)
+
+    def take(self, address: str, name: str, folder_id: str) -> None:
+        """Note the folder of a seed."""
+        if address in self.seeds:
+            self.members[address] = Member(name, folder_id, voter=True)
+
+    def membership(self) -> MembershipSet | None:
+        """Return the first membership once all seeds are known."""
+        if not self.is_seed or len(self.members) < len(self.seeds):
+            return None
+        return MembershipSet(tuple(sorted(self.members.values())))
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -0,0 +1,41 @@
+"""Times, weights and bounds of routed requests."""
+
+# A reported load older than this says nothing about now.
+LOAD_FRESH_S = 0.3
+# How fast an upstream that was slow or failed is believed to have recovered.
+PACE_HALF_LIFE_S = 2.0
+FAILURE_HALF_LIFE_S = 2.0
+# Weight of the newest answer in the moving averages.
+PACE_WEIGHT = 0.25
+FAILURE_WEIGHT = 0.3
+PACE_MOST = 20.0
+# An upstream of another data centre counts as this much slower.
+FAR_FACTOR = 1.25
+# A request that is out this many usual times shows an upstream that stands still.
+STUCK_FACTOR = 2.5
+# Consecutive failures after which an upstream is left out, and for how long.
+EJECT_AFTER = 3
+EJECT_S = 0.5
+EJECT_MOST_S = 4.0
+# An address that belongs to another upstream now is left alone until the list shows it.
+MISPLACED_S = 6.0
+# Hedges go out after this many usual times, and at the latest after this part of the aim.
+HEDGE_FACTOR = 2.2
+HEDGE_LATEST_PART = 0.33
+HEDGE_LEAST_S = 0.005
+# One step of the estimate of the usual time.
+USUAL_STEP = 0.03
+USUAL_FIRST_PART_GATHER = 0.13
+USUAL_FIRST_PART_SINGLE = 0.25
+# Time kept back from the aim for the way to the caller.
+ANSWER_MARGIN_S = 0.008
+# Time kept back from the route's time-out and the caller's deadline.
+END_MARGIN_S = 0.015
+# Least time for which sending once more is of use.
+LEAST_USEFUL_S = 0.003
+# Parts of the shared budget that one instance takes, since the others do not see it.
+BUDGET_RATIO_PART = 0.85
+BUDGET_BURST_PART = 0.7
+BUDGET_BUCKETS = 20
+# The part of the connections of an upstream that is shared out; the rest is for newcomers.
+CONNECTION_PART = 0.85
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/gather_shard.py
@@ -0,0 +1,20 @@
+"""One shard of a gathered request."""
+
+import dataclasses
+
+from spindle_decisions.routing.replica import Replica
+
+
+@dataclasses.dataclass
+class GatherShard:
+    """Sends, failures and the part of one shard.
+
+    `out` maps the tokens of sends without an end to the time they went out.
+    """
+
+    service: str
+    tried: list[Replica] = dataclasses.field(default_factory=list)
+    out: dict[int, float] = dataclasses.field(default_factory=dict)
+    part: object | None = None
+    lost: bool = False
+    hedged: bool = False
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/part_send.py
@@ -0,0 +1,26 @@
+"""A request to one upstream that is to go out."""
+
+import dataclasses
+import itertools
+
+from spindle_decisions.routing.replica import Replica
+
+_TOKENS = itertools.count(1)
+
+
+@dataclasses.dataclass(frozen=True)
+class PartSend:
+    """Send the request to `replica` for the shard at `shard`; `token` names the send.
+
+    `cause` is `first`, `hedge` or `retry`.
+    """
+
+    token: int
+    shard: int
+    replica: Replica
+    cause: str
+
+
+def next_token() -> int:
+    """Return a token that no other send of this process has."""
+    return next(_TOKENS)
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/plan_check.py
@@ -0,0 +1,51 @@
+"""The check of a plan before it is accepted."""
+
+from spindle_decisions.exceptions import PlanError
+from spindle_decisions.routing.plan import RoutingPlan
+from spindle_decisions.routing.route import Route
+
+MAX_QUOTED_CHARS = 100
+
+
+def check_plan(plan: RoutingPlan) -> None:
+    """Raise `PlanError`, naming the route, if the plan cannot be in force."""
+    if plan.version <= 0:
+        raise PlanError(f"version is {plan.version}: allowed: a number above 0")
+    names = {service.name for service in plan.services}
+    if len(names) != len(plan.services):
+        raise PlanError("two services have the same name")
+    places: set[tuple[str, str]] = set()
+    for route in plan.routes:
+        _check_route(route, names)
+        place = (route.host.lower(), route.prefix)
+        if place in places:
+            raise PlanError(f"route {_quoted(route.name)}: host and prefix are taken")
+        places.add(place)
+
+
+def _check_route(route: Route, names: set[str]) -> None:
+    wanted = {item.service for item in route.services} | set(route.shards)
+    unknown = sorted(wanted - names)
+    if unknown:
+        raise PlanError(f"route {_quoted(route.name)}: unknown service {_quoted(unknown[0])}")
+    if bool(route.services) == bool(route.shards):
+        raise PlanError(f"route {_quoted(route.name)}: allowed: services or shards")
+    if len(set(route.shards)) != len(route.shards):
+        raise PlanError(f"route {_quoted(route.name)}: a shard is named twice")
+    if not route.host or not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        raise PlanError(f"route {_quoted(route.name)}: host or prefix is malformed")
+    if route.timeout_ms <= 0:
+        raise PlanError(f"route {_quoted(route.name)}: time-out is {route.timeout_ms} ms")
+    _check_weights(route)
+
+
+def _check_weights(route: Route) -> None:
+    weights = [item.weight for item in route.services]
+    if any(weight < 0 for weight in weights):
+        raise PlanError(f"route {_quoted(route.name)}: a weight is below 0")
+    if weights and sum(weights) <= 0:
+        raise PlanError(f"route {_quoted(route.name)}: weights add up to 0")
+
+
+def _quoted(text: str) -> str:
+    return repr(text[:MAX_QUOTED_CHARS])
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/records.py
@@ -0,0 +1,18 @@
+"""Records in the bodies of parts."""
+
+import heapq
+from collections.abc import Iterable
+
+RECORD_BYTES = 16
+
+
+def split_records(body: bytes) -> list[bytes]:
+    """Return the whole records of a part; a shorter remainder is none."""
+    whole = len(body) - len(body) % RECORD_BYTES
+    return [body[at : at + RECORD_BYTES] for at in range(0, whole, RECORD_BYTES)]
+
+
+def greatest_records(parts: Iterable[bytes], count: int) -> bytes:
+    """Return the `count` greatest records of all parts, greatest first; equal ones all count."""
+    records = (record for body in parts for record in split_records(body))
+    return b"".join(heapq.nlargest(count, records))
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/repeat_budget.py
@@ -0,0 +1,55 @@
+"""The budget of repeated requests towards one service."""
+
+from collections import deque
+
+from spindle_decisions.routing import const
+from spindle_decisions.routing.budget_bounds import BudgetBounds
+
+
+class RepeatBudget:
+    """Bounds what this instance sends beyond the first of each request, in any window.
+
+    All instances share the bound of a service and do not see each other's repeats.
+    Each takes the ratio of its own requests, which adds up over all of them, and its
+    share of the fixed part.
+    """
+
+    def __init__(self, bounds: BudgetBounds) -> None:
+        self.bounds = bounds
+        self.bucket_s = bounds.window_s / const.BUDGET_BUCKETS
+        self.buckets: deque[list[int]] = deque()
+        self.requests = 0
+        self.repeats = 0
+
+    def requested(self, now: float) -> None:
+        """Count a request for the service."""
+        self._bucket(now)[1] += 1
+        self.requests += 1
+
+    def take(self, now: float, instances: int) -> bool:
+        """Count a repeat if the budget allows it; return whether it does."""
+        bucket = self._bucket(now)
+        fixed = self.bounds.burst * const.BUDGET_BURST_PART / max(1, instances)
+        most = self.bounds.ratio * const.BUDGET_RATIO_PART * self.requests + fixed
+        if self.repeats + 1 > most:
+            return False
+        bucket[2] += 1
+        self.repeats += 1
+        return True
+
+    def give_back(self, now: float) -> None:
+        """Take back a repeat that was never sent."""
+        bucket = self._bucket(now)
+        if bucket[2]:
+            bucket[2] -= 1
+            self.repeats -= 1
+
+    def _bucket(self, now: float) -> list[int]:
+        number = int(now / self.bucket_s)
+        if not self.buckets or self.buckets[-1][0] != number:
+            self.buckets.append([number, 0, 0])
+        while self.buckets[0][0] < number - const.BUDGET_BUCKETS:
+            _, requests, repeats = self.buckets.popleft()
+            self.requests -= requests
+            self.repeats -= repeats
+        return self.buckets[-1]
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/send_cause.py
@@ -0,0 +1,5 @@
+"""Why a request goes to an upstream."""
+
+FIRST = "first"
+HEDGE = "hedge"
+RETRY = "retry"
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/upstream_list.py
@@ -0,0 +1,24 @@
+"""The whole list of upstreams at one moment."""
+
+import msgspec
+import xxhash
+
+from spindle_decisions.routing.listed_upstream import ListedUpstream
+
+
+class UpstreamList(msgspec.Struct, frozen=True):
+    """What the platform's list held when it was read; `digest` names the content."""
+
+    digest: str
+    upstreams: tuple[ListedUpstream, ...]
+
+
+def create_upstream_list(upstreams: tuple[ListedUpstream, ...]) -> UpstreamList:
+    """Return the list, sorted, with the digest of everything but warm-up times."""
+    ordered = tuple(sorted(upstreams, key=lambda item: (item.upstream_id, item.host, item.port)))
+    lasting = tuple(msgspec.structs.replace(item, warmup_ms=0) for item in ordered)
+    return UpstreamList(_digest(lasting), ordered)
+
+
+def _digest(upstreams: tuple[ListedUpstream, ...]) -> str:
+    return xxhash.xxh3_64_hexdigest(msgspec.msgpack.encode(upstreams))
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/usual_time.py
@@ -0,0 +1,22 @@
+"""The usual time of an answer."""
+
+from spindle_decisions.routing import const
+
+
+class UsualTime:
+    """A moving estimate of the median, in seconds, from single answer times."""
+
+    def __init__(self, first_s: float) -> None:
+        self.seconds = first_s
+
+    def add(self, took_s: float) -> None:
+        """Take in one answer."""
+        if took_s > self.seconds:
+            self.seconds *= 1 + const.USUAL_STEP
+        else:
+            self.seconds /= 1 + const.USUAL_STEP
+
+    def hedge_after_s(self, aim_s: float) -> float:
+        """Return after which time a second upstream should be asked."""
+        late = min(const.HEDGE_FACTOR * self.seconds, const.HEDGE_LATEST_PART * aim_s)
+        return max(const.HEDGE_LEAST_S, late)
--- a/packages/decisions/src/spindle_decisions/state/replicated_state.py
+++ b/packages/decisions/src/spindle_decisions/state/replicated_state.py
@@ -10,6 +10,9 @@
 from spindle_decisions.commands.command import Command, Result
 from spindle_decisions.commands.note_applied import NoteApplied
 from spindle_decisions.commands.note_refused import NoteRefused
+from spindle_decisions.commands.plan_replaced import PlanReplaced
+from spindle_decisions.commands.read_plan import ReadPlan
+from spindle_decisions.commands.replace_plan import ReplacePlan
 from spindle_decisions.exceptions import ControlError, NoteError
 from spindle_decisions.notes.applier import apply_note
 from spindle_decisions.notes.note import Note
@@ -24,6 +27,7 @@
 from spindle_decisions.state.note_ledger import NoteLedger
 from spindle_decisions.state.note_record import NoteRecord
 from spindle_decisions.state.note_texts import NoteTexts
+from spindle_decisions.state.plan_document import NO_PLAN, PlanDocument
 from spindle_decisions.state.state_image import (
     StateImage,
     decode_state_image,
@@ -32,7 +36,7 @@
 
 
 class ReplicatedState:
-    """The catalog, the notes that led to it, and the claims.
+    """The catalog, the notes that led to it, the claims, and the plan of routes.
 
     Deterministic: replicas that apply the same entries hold the same bytes,
     also when one of them started from a snapshot. Time comes only from the
@@ -43,6 +47,7 @@
         self.applied_index = 0
         self.catalog: Catalog = EMPTY_CATALOG
         self.claims = claims
+        self.plan: PlanDocument = NO_PLAN
         self._ledger = NoteLedger([])
         self._texts = NoteTexts(0)
 
@@ -57,6 +62,10 @@
         self.applied_index = entry_index
         if isinstance(command, ApplyNote):
             return self._apply_note(entry_index, command)
+        if isinstance(command, ReplacePlan):
+            return self._replace_plan(command)
+        if isinstance(command, ReadPlan):
+            return PlanReplaced(self.plan.version, changed=False)
         if isinstance(command, ClaimRun):
             return self.claims.claim(command)
         return self.claims.record(command)
@@ -85,6 +94,7 @@
             note_rows=tuple(self._ledger.rows),
             note_texts=self._texts.all(),
             claims=self.claims.image(),
+            plan=self.plan,
         )
         return encode_state_image(image)
 
@@ -98,6 +108,7 @@
         self.applied_index = image.applied_index
         self.catalog = image.catalog
         self.claims.restore(image.claims)
+        self.plan = image.plan
         self._ledger = NoteLedger(list(image.note_rows))
         self._texts = NoteTexts(image.catalog.version, image.note_texts)
 
@@ -112,6 +123,12 @@
             return _applied(self._record_of(examined, self.applied_index, 0))
         return examined
 
+    def _replace_plan(self, command: ReplacePlan) -> PlanReplaced:
+        changed = command.version > self.plan.version
+        if changed:
+            self.plan = PlanDocument(command.version, command.document)
+        return PlanReplaced(self.plan.version, changed)
+
     def _apply_note(self, entry_index: int, command: ApplyNote) -> NoteApplied | NoteRefused:
         examined = self._examine(command.text)
         if not isinstance(examined, ExaminedNote):
--- a/packages/decisions/src/spindle_decisions/state/state_image.py
+++ b/packages/decisions/src/spindle_decisions/state/state_image.py
@@ -6,6 +6,7 @@
 from spindle_decisions.claims.claim_image import ClaimImage
 from spindle_decisions.exceptions import StorageDamagedError
 from spindle_decisions.state.const import SNAPSHOT_FORMAT
+from spindle_decisions.state.plan_document import NO_PLAN, PlanDocument
 
 
 class StateImage(msgspec.Struct, frozen=True):
@@ -17,6 +18,7 @@
     note_rows: tuple[bytes, ...]
     note_texts: tuple[str, ...]
     claims: ClaimImage
+    plan: PlanDocument = NO_PLAN
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/wire/control_beat.py
@@ -0,0 +1,21 @@
+"""The answer of a control instance to the heartbeat of an entry instance."""
+
+import msgspec
+
+from spindle_decisions.wire.heard_instance import HeardInstance
+
+
+class ControlBeat(msgspec.Struct, frozen=True, tag="control-beat"):
+    """What the control instance holds and whom it heard.
+
+    `quorum_age_ms` is the age of its last contact with a quorum. `entries` counts
+    the entry instances that live.
+    """
+
+    control: str
+    controls: tuple[HeardInstance, ...]
+    entries: int
+    plan_version: int
+    quorum_age_ms: int
+    list_digest: str
+    list_age_ms: int
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/wire/entry_beat.py
@@ -0,0 +1,15 @@
+"""The heartbeat of an entry instance to a control instance."""
+
+import msgspec
+
+from spindle_decisions.wire.fleet_instance import FleetInstance
+
+
+class EntryBeat(msgspec.Struct, frozen=True, tag="entry-beat"):
+    """Who beats and what it holds; `primary` asks for news without being asked again."""
+
+    instance: FleetInstance
+    primary: bool
+    plan_version: int
+    list_digest: str
+    leaving: bool = False
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/wire/fleet_hello.py
@@ -0,0 +1,22 @@
+"""What control instances tell each other about themselves and the fleet."""
+
+import msgspec
+
+from spindle_decisions.wire.fleet_instance import FleetInstance
+from spindle_decisions.wire.heard_instance import HeardInstance
+
+
+class FleetHello(msgspec.Struct, frozen=True, tag="fleet-hello"):
+    """Sent to every control instance that is known, and to the seeds.
+
+    `folder_id` names the data folder; `founding` says that it is empty and that the
+    deployment starts for the first time. `heard` has every process that was heard
+    lately. The list of upstreams is named by its digest and its age.
+    """
+
+    instance: FleetInstance
+    folder_id: str
+    founding: bool
+    heard: tuple[HeardInstance, ...]
+    list_digest: str = ""
+    list_age_ms: int = 0
--- a/packages/decisions/src/spindle_decisions/wire/message.py
+++ b/packages/decisions/src/spindle_decisions/wire/message.py
@@ -3,11 +3,16 @@
 from spindle_decisions.wire.config_chunk import ConfigChunk
 from spindle_decisions.wire.config_delta import ConfigDelta
 from spindle_decisions.wire.config_notice import ConfigNotice
+from spindle_decisions.wire.control_beat import ControlBeat
 from spindle_decisions.wire.control_status import ControlStatus
+from spindle_decisions.wire.entry_beat import EntryBeat
 from spindle_decisions.wire.fetch_config import FetchConfig
+from spindle_decisions.wire.fleet_hello import FleetHello
 from spindle_decisions.wire.heartbeat import Heartbeat
 from spindle_decisions.wire.heartbeat_ack import HeartbeatAck
 from spindle_decisions.wire.leave import Leave
+from spindle_decisions.wire.list_push import ListPush
+from spindle_decisions.wire.plan_push import PlanPush
 from spindle_decisions.wire.propose import Propose
 from spindle_decisions.wire.propose_reply import ProposeReply
 from spindle_decisions.wire.raft_packet import RaftPacket
@@ -17,6 +22,11 @@
 
 Message = (
     ConfigChunk
+    | PlanPush
+    | ListPush
+    | FleetHello
+    | EntryBeat
+    | ControlBeat
     | ConfigDelta
     | ConfigNotice
     | ControlStatus
