--- a/packages/daemon/src/spindle_daemon/components/control/driver_setup.py
+++ b/packages/daemon/src/spindle_daemon/components/control/driver_setup.py
@@ -64,5 +64,6 @@
         lease_s=control.lease_ms / MS_PER_S,
         peers=tuple(item.name for item in spindle.settings.controls if item.name != name),
         auto_join=auto_join,
+        quick_start=auto_join,
     )
     return create_raft_node(settings, restored, spindle.rng, spindle.clock.now())
--- a/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
+++ b/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
@@ -38,6 +38,9 @@
     One greenlet ticks, one writes batches; both share the loop, so that the
     node is never entered twice. A failed sync stops the process: what the disk
     holds is then unknown, and a retry could acknowledge what was lost.
+
+    `on_caught_up` is called after a group of entries was applied and not between
+    them, since a restarted instance applies its whole log at once.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         self.batches: Queue = Queue()
         self.on_applied: list[AppliedListener] = []
         self.on_restored: list[Callable[[], None]] = []
+        self.on_caught_up: list[Callable[[], None]] = []
 
     def start(self) -> None:
         """Start the greenlets."""
@@ -94,6 +98,9 @@
             self._restore(ready.restore)
         for entry in ready.committed:
             self._apply(entry)
+        if ready.committed:
+            for listener in self.on_caught_up:
+                listener()
         for event in ready.events:
             _LOGGER.info("raft: %s: %s", event.kind, event.reason)
             self.timeline.add(EventKind(event.kind.value), event.reason, peer=event.peer)
--- a/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
@@ -10,6 +10,7 @@
 from spindle_daemon.components.fleet.list_codec import decode_list, encode_list
 from spindle_daemon.components.fleet.list_reader import ListReader
 from spindle_daemon.core.dialect import Dialect
+from spindle_daemon.core.settings_reloaded import SettingsReloaded
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.periodic import run_every
 from spindle_daemon.settings.fleet_settings import FleetSettings
@@ -55,15 +56,21 @@
             self.me.address, self.me.name, folder_id, fleet.seeds if fleet.founding else ()
         )
         self.beats: dict[str, EntryBeat] = {}
+        self.pushed_version = 0
         self.redialled_at: dict[str, float] = {}
         self.reader = ListReader(
             spindle.clock, self.keeper, dialect.upstreams, self._read_after_s, self._on_read
         )
+        spindle.bus.listen(SettingsReloaded, self._on_settings)
         transport = spindle.transport
         transport.handle(FleetHello, self._on_hello)
         transport.handle(EntryBeat, self._on_beat)
         transport.handle(ListPush, self._on_list)
 
+    def _on_settings(self, event: SettingsReloaded) -> None:
+        if event.settings.fleet is not None:
+            self.fleet = event.settings.fleet
+
     def start(self) -> None:
         """Start the greenlets."""
         gevent.spawn(run_every, "fleet", lambda: HELLO_S, self._say_hello)
@@ -77,6 +84,9 @@
     def push_plan(self) -> None:
         """Send the plan in force to the entry instances that count on this one."""
         push = self._plan_push()
+        if push.version <= self.pushed_version:
+            return
+        self.pushed_version = push.version
         for beat in self.beats.values():
             if beat.primary and beat.plan_version < push.version:
                 self.spindle.transport.send(beat.instance.address, push)
--- a/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
@@ -17,6 +17,7 @@
 from spindle_daemon.components.fleet.plan_taken import PlanTaken
 from spindle_daemon.components.fleet.upstreams_taken import UpstreamsTaken
 from spindle_daemon.core.dialect import Dialect
+from spindle_daemon.core.settings_reloaded import SettingsReloaded
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.periodic import run_every
 from spindle_daemon.settings.fleet_settings import FleetSettings
@@ -52,6 +53,7 @@
         self.plan = EMPTY_PLAN
         self.plan_at = math.inf
         self.sure_at = -math.inf
+        self.was_sure = False
         self.instances = 1
         self.asked_at: dict[str, float] = {}
         self.answered_at: dict[str, float] = {}
@@ -63,11 +65,16 @@
             lambda: self.patience_s,
             lambda changed: self._on_read(changed),
         )
+        spindle.bus.listen(SettingsReloaded, self._on_settings)
         transport = spindle.transport
         transport.handle(ControlBeat, self._on_beat)
         transport.handle(PlanPush, self._on_plan)
         transport.handle(ListPush, self._on_list)
 
+    def _on_settings(self, event: SettingsReloaded) -> None:
+        if event.settings.fleet is not None:
+            self.fleet = event.settings.fleet
+
     def start(self) -> None:
         """Start the greenlets."""
         gevent.spawn(run_every, "fleet", lambda: BEAT_S, self._beat)
@@ -87,6 +94,12 @@
         now = self.spindle.clock.now()
         return now - self.sure_at < PLAN_SURE_S or now - self.plan_at > PLAN_SURE_WAIT_S
 
+    def settled(self) -> bool:
+        """Return whether a plan of this life was ever sure; a later doubt changes nothing."""
+        if not self.was_sure:
+            self.was_sure = self.sure()
+        return self.was_sure
+
     def _beat(self) -> None:
         now = self.spindle.clock.now()
         targets = self._targets()
--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -39,7 +39,7 @@
             routed.budget_ratio, routed.budget_window_ms / MS_PER_S, routed.budget_burst
         )
         self.book = ServingBook(spindle.settings.instance.data_center, bounds, spindle.rng)
-        self.sender = Sender(spindle.clock, dialect.headers)
+        self.sender = Sender(spindle.clock, dialect.headers, self.book.replicas)
         spindle.bus.listen(PlanTaken, self._take_plan)
         spindle.bus.listen(UpstreamsTaken, self._take_upstreams)
 
@@ -51,8 +51,8 @@
         self, request: RoutedRequest, caller: Caller, record: RunRecord
     ) -> RoutedAnswer | None:
         """Return the answer, `None` if the caller left; raises `RefusalError`."""
-        if not self.table.plan.version:
-            raise NoPlanError("no plan is known yet")
+        if not self.table.plan.version or not self.desk.settled():
+            raise NoPlanError("no plan is known yet that is surely in force")
         route = self.table.find(request.host, request.target)
         if route is None:
             raise UnknownRouteError("no route for this host and path")
--- a/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -48,7 +48,7 @@
             self.gather.part(token, result.reply, now)
             return
         self.crew.record.failed(result)
-        self._send(self.gather.failure(token, now))
+        self._send(self.gather.failure(token, now, result.unsent))
 
     def _answer(self) -> RoutedAnswer:
         end = self.gather.end
--- a/packages/daemon/src/spindle_daemon/components/routed/sender.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/sender.py
@@ -13,14 +13,16 @@
 from spindle_daemon.core.dialect import HeaderNames
 from spindle_decisions.routing.part_send import PartSend
 from spindle_decisions.routing.replica import Replica
+from spindle_decisions.routing.replica_book import ReplicaBook
 from spindle_decisions.routing.usual_time import UsualTime
 
 
 class Sender:
     """Holds the connections to all upstreams and notes how each send ended."""
 
-    def __init__(self, clock: Clock, names: HeaderNames) -> None:
+    def __init__(self, clock: Clock, names: HeaderNames, replicas: ReplicaBook) -> None:
         self.clock = clock
+        self.replicas = replicas
         self.names = names
         self.pools: dict[str, LinkPool] = {}
 
@@ -65,8 +67,7 @@
             with timeout:
                 reply = self.pool(replica).exchange(method, request, fresh_s)
         except SendError as err:
-            if not err.busy:
-                replica.failed(self.clock.now())
+            self._note_error(replica, err)
             return SendResult(send, None, None, err.unsent, str(err))
         except gevent.Timeout as err:
             if err is not timeout:
@@ -86,13 +87,21 @@
         if load is not None and meaning is not ReplyMeaning.FOREIGN:
             replica.load_reported(now, *load)
         if meaning is ReplyMeaning.GOOD:
-            replica.answered(now, now - started, usual.seconds)
+            self.replicas.answered(replica, now, now - started, usual.seconds)
         elif meaning is ReplyMeaning.MISPLACED:
             replica.misplaced(now)
         else:
             replica.failed(now)
         return SendResult(send, reply, meaning, False, f"{meaning.value} {reply.status}")
 
+    def _note_error(self, replica: Replica, err: SendError) -> None:
+        if err.busy:
+            return
+        if err.unsent:
+            self.replicas.unreachable(replica, self.clock.now())
+        else:
+            replica.failed(self.clock.now())
+
     def pool(self, replica: Replica) -> LinkPool:
         """Return the connections to an upstream."""
         pool = self.pools.get(replica.upstream_id)
--- a/packages/daemon/src/spindle_daemon/fleet_control.py
+++ b/packages/daemon/src/spindle_daemon/fleet_control.py
@@ -10,8 +10,6 @@
 from spindle_daemon.core.dialect import Dialect
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.storage.patient_open import open_when_writable
-from spindle_decisions.commands.command import Result
-from spindle_decisions.commands.plan_replaced import PlanReplaced
 from spindle_decisions.wire.raft_packet import RaftPacket
 
 
@@ -34,14 +32,8 @@
     ProposeService(spindle.clock, transport, driver, address_of)
     own = settings.mesh.advertise
     spindle.control = ProposalClient(spindle.clock, transport, own, lambda _attempt: own)
-    push = desk.push_plan
-
-    def on_applied(result: Result) -> None:
-        if isinstance(result, PlanReplaced) and result.changed:
-            push()
-
-    driver.on_applied.append(on_applied)
-    driver.on_restored.append(push)
+    driver.on_caught_up.append(desk.push_plan)
+    driver.on_restored.append(desk.push_plan)
     driver.start()
     desk.start()
     plan_api.setup(spindle, dialect, driver)
--- a/packages/daemon/src/spindle_daemon/fleet_daemon.py
+++ b/packages/daemon/src/spindle_daemon/fleet_daemon.py
@@ -1,6 +1,7 @@
 """Start and planned stop of a process that serves routes in a fleet."""
 
 import logging
+import pathlib
 import random
 from collections.abc import Callable
 
@@ -9,6 +10,7 @@
 from spindle_daemon.core.dialect import Dialect
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.process import read_key, wait_for_signal
+from spindle_daemon.helpers.settings_watch import SettingsWatch
 from spindle_daemon.mesh.transport import Transport
 from spindle_daemon.settings.settings import Settings
 from spindle_decisions.timeline.event_kind import EventKind
@@ -20,7 +22,9 @@
 SetupRole = Callable[[Spindle, Dialect], None]
 
 
-def run_fleet(settings: Settings, dialect: Dialect, setup_role: SetupRole) -> None:
+def run_fleet(
+    path: pathlib.Path, settings: Settings, dialect: Dialect, setup_role: SetupRole
+) -> None:
     """Run the process until SIGTERM or SIGINT, then stop as planned.
 
     `setup_role` sets up what the role needs, so that no process loads the other role.
@@ -45,6 +49,7 @@
         },
     )
     spindle.transport.start()
+    SettingsWatch(spindle, path).start()
     setup_role(spindle, dialect)
     wait_for_signal()
     _LOGGER.info("daemon: stopping", extra={"event": "stopping"})
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/helpers/settings_watch.py
@@ -0,0 +1,67 @@
+"""Following changes of the settings file."""
+
+import logging
+import pathlib
+import signal
+
+import gevent
+
+from spindle_daemon.core.settings_reloaded import SettingsReloaded
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.periodic import run_every
+from spindle_daemon.settings.loader import load_settings
+from spindle_decisions.exceptions import SettingsError
+
+_LOGGER = logging.getLogger(__name__)
+
+POLL_S = 1.0
+
+
+class SettingsWatch:
+    """Reads the file again on SIGHUP, and when it changed without a signal.
+
+    Settings that are wrong are logged and the earlier ones stay in force.
+    """
+
+    def __init__(self, spindle: Spindle, path: pathlib.Path) -> None:
+        self.spindle = spindle
+        self.path = path
+        self.mark = self._mark()
+
+    def start(self) -> None:
+        """Listen for the signal and begin to look."""
+        gevent.signal_handler(signal.SIGHUP, self.reload, "signal")
+        gevent.spawn(run_every, "settings", lambda: POLL_S, self._look)
+
+    def reload(self, reason: str) -> None:
+        """Read the file and tell the components if it says something else."""
+        self.mark = self._mark()
+        try:
+            settings = load_settings(self.path)
+        except SettingsError as err:
+            _LOGGER.error(
+                "settings: kept the earlier ones: %s",
+                str(err)[:200],
+                extra={"event": "bad-settings"},
+            )
+            return
+        changed = settings != self.spindle.settings
+        _LOGGER.info(
+            "settings: read again", extra={"event": "reload", "reason": reason, "changed": changed}
+        )
+        if changed:
+            self.spindle.settings = settings
+            self.spindle.bus.fire(SettingsReloaded(settings))
+
+    def _look(self) -> None:
+        mark = self._mark()
+        if mark is not None and mark != self.mark:
+            self.reload("changed file")
+
+    def _mark(self) -> tuple[int, int, int] | None:
+        try:
+            found = self.path.stat()
+        except OSError as err:
+            _LOGGER.debug("settings: not found: %s", err)
+            return None
+        return found.st_mtime_ns, found.st_size, found.st_ino
--- a/packages/decisions/src/spindle_decisions/consensus/node_state.py
+++ b/packages/decisions/src/spindle_decisions/consensus/node_state.py
@@ -69,6 +69,8 @@
         self.reads_ready: list[ReadReady] = []
         self.restore: Snapshot | None = None
         self.reset_election_deadline()
+        if settings.quick_start:
+            self.election_deadline = now + rng.uniform(0.1, 0.5) * settings.election_min_s
 
     def load_log(self, restored: RestoredState) -> None:
         """Fill log and membership history from the data folder."""
--- a/packages/decisions/src/spindle_decisions/consensus/settings.py
+++ b/packages/decisions/src/spindle_decisions/consensus/settings.py
@@ -16,7 +16,9 @@
     itself stale. `keep_entries` entries stay in memory behind a snapshot, so
     that a member which is only a little behind needs no snapshot. With
     `auto_join` a leader takes in whoever asks, and takes a voter out that was silent
-    for `retire_s` while at least `retire_keeps` others are live.
+    for `retire_s` while at least `retire_keeps` others are live. With `quick_start` a
+    node asks for an election soon after its start; the pre-vote keeps that from
+    disturbing a leader.
     """
 
     name: str
@@ -29,5 +31,6 @@
     max_inflight_entries: int = 4096
     keep_entries: int = 1024
     auto_join: bool = False
+    quick_start: bool = False
     retire_s: float = 4.0
     retire_keeps: int = 3
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -17,6 +17,10 @@
 EJECT_AFTER = 3
 EJECT_S = 0.5
 EJECT_MOST_S = 4.0
+# Upstreams that could not be reached in a row before their data centre counts as cut
+# off, and how long it is then left alone.
+DARK_AFTER = 3
+DARK_S = 1.0
 # An address that belongs to another upstream now is left alone until the list shows it.
 MISPLACED_S = 6.0
 # Hedges go out after this many usual times, and at the latest after this part of the aim.
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/data_center_watch.py
@@ -0,0 +1,32 @@
+"""Data centres that cannot be reached from here."""
+
+from spindle_decisions.routing import const
+
+
+class DataCenterWatch:
+    """Notices from single connections that a whole data centre is cut off.
+
+    A data centre is dark once several of its upstreams in a row could not be reached
+    and none answered since. It is left alone for a moment, then tried again, so that
+    one request at a time pays for finding out.
+    """
+
+    def __init__(self) -> None:
+        self.failed: dict[str, set[str]] = {}
+        self.dark_until: dict[str, float] = {}
+
+    def answered(self, data_center: str) -> None:
+        """Take in that an upstream of the data centre answered."""
+        self.failed.pop(data_center, None)
+        self.dark_until.pop(data_center, None)
+
+    def unreachable(self, data_center: str, upstream_id: str, now: float) -> None:
+        """Take in that an upstream of the data centre could not be reached."""
+        failed = self.failed.setdefault(data_center, set())
+        failed.add(upstream_id)
+        if len(failed) >= const.DARK_AFTER:
+            self.dark_until[data_center] = now + const.DARK_S
+
+    def is_dark(self, data_center: str, now: float) -> bool:
+        """Return whether the data centre is to be left alone."""
+        return now < self.dark_until.get(data_center, 0.0)
--- a/packages/decisions/src/spindle_decisions/routing/gather.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather.py
@@ -59,16 +59,23 @@
         self._judge(now)
         return []
 
-    def failure(self, token: int, now: float) -> list[PartSend]:
-        """Take in a send that brought no part; return the retry, if there is one."""
+    def failure(self, token: int, now: float, unsent: bool = False) -> list[PartSend]:
+        """Take in a send that brought no part; return what goes out instead, if anything.
+
+        One of which no byte left was no attempt, and what replaces it no repeat.
+        """
         send = self.sends.pop(token)
         shard = self.shards[send.shard]
         shard.out.pop(token)
         if shard.part is not None or self.end is not None:
             return []
-        retry = self._send(send.shard, send_cause.RETRY, now)
+        cause = send_cause.RETRY
+        if unsent:
+            shard.unsent += 1
+            cause = send.cause
+        again = self._send(send.shard, cause, now, unsent)
         self._judge(now)
-        return [] if retry is None else [retry]
+        return [] if again is None else [again]
 
     def tick(self, now: float) -> list[PartSend]:
         """Let time pass; return hedges that are due."""
@@ -92,15 +99,16 @@
             waits.append(self.aim_at)
         return min(waits)
 
-    def _send(self, at: int, cause: str, now: float) -> PartSend | None:
+    def _send(self, at: int, cause: str, now: float, paid: bool = False) -> PartSend | None:
         shard = self.shards[at]
         replica = None
-        if len(shard.tried) < self.route.max_attempts and now < self.end_at:
+        attempts = len(shard.tried) - shard.unsent
+        if attempts < self.route.max_attempts and now < self.end_at:
             replica = self.book.replicas.choose(
                 shard.service, now, self.usual.seconds, tuple(shard.tried)
             )
-        first = cause == send_cause.FIRST
-        if replica is not None and not first and not self.book.take_repeat(shard.service, now):
+        free = paid or cause == send_cause.FIRST
+        if replica is not None and not free and not self.book.take_repeat(shard.service, now):
             replica = None
         if replica is None:
             if not shard.out and not shard.lost:
--- a/packages/decisions/src/spindle_decisions/routing/gather_shard.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_shard.py
@@ -9,7 +9,8 @@
 class GatherShard:
     """Sends, failures and the part of one shard.
 
-    `out` maps the tokens of sends without an end to the time they went out.
+    `out` maps the tokens of sends without an end to the time they went out. `unsent`
+    counts those of `tried` to which no byte went.
     """
 
     service: str
@@ -17,4 +18,5 @@
     out: dict[int, float] = dataclasses.field(default_factory=dict)
     part: object | None = None
     lost: bool = False
+    unsent: int = 0
     hedged: bool = False
--- a/packages/decisions/src/spindle_decisions/routing/replica.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica.py
@@ -71,6 +71,11 @@
         self.pace = self.pace_now(now) * (1 - const.PACE_WEIGHT) + ratio * const.PACE_WEIGHT
         self.pace_at = now
 
+    def unreachable(self, now: float) -> None:
+        """Take in that no connection came about; it is left out at once."""
+        self.failures_in_row = max(self.failures_in_row, const.EJECT_AFTER - 1)
+        self.failed(now)
+
     def failed(self, now: float) -> None:
         """Take in a failure."""
         self.failing = self.failing_now(now) * (1 - const.FAILURE_WEIGHT) + const.FAILURE_WEIGHT
--- a/packages/decisions/src/spindle_decisions/routing/replica_book.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica_book.py
@@ -3,6 +3,7 @@
 import random
 
 from spindle_decisions.routing import const
+from spindle_decisions.routing.data_center_watch import DataCenterWatch
 from spindle_decisions.routing.listed_upstream import ListedUpstream
 from spindle_decisions.routing.replica import Replica
 from spindle_decisions.util.units import MS_PER_S
@@ -19,6 +20,7 @@
     def __init__(self, data_center: str, rng: random.Random) -> None:
         self.data_center = data_center
         self.rng = rng
+        self.watch = DataCenterWatch()
         self.replicas: dict[str, Replica] = {}
         self.by_service: dict[str, list[Replica]] = {}
 
@@ -56,9 +58,24 @@
         ]
         if not usable:
             return None
-        sound = [item for item in usable if not item.ejected(now)]
+        sound = [item for item in usable if self.sound(item, now)]
         return min(sound or usable, key=lambda item: self.score(item, now, usual_s))
 
+    def sound(self, replica: Replica, now: float) -> bool:
+        """Return whether nothing speaks against an upstream just now."""
+        dark = self.watch.is_dark(replica.listed.data_center, now)
+        return not dark and not replica.ejected(now)
+
+    def answered(self, replica: Replica, now: float, took_s: float, usual_s: float) -> None:
+        """Take in a good answer of an upstream."""
+        replica.answered(now, took_s, usual_s)
+        self.watch.answered(replica.listed.data_center)
+
+    def unreachable(self, replica: Replica, now: float) -> None:
+        """Take in that no connection to an upstream came about."""
+        replica.unreachable(now)
+        self.watch.unreachable(replica.listed.data_center, replica.upstream_id, now)
+
     def score(self, replica: Replica, now: float, usual_s: float) -> float:
         """Return the expected time in seconds, with locality and a little chance."""
         near = replica.listed.data_center == self.data_center
--- a/packages/decisions/src/spindle_decisions/routing/single.py
+++ b/packages/decisions/src/spindle_decisions/routing/single.py
@@ -47,12 +47,12 @@
 
     def unsent(self, token: int, now: float) -> PartSend | None:
         """Take in that no byte of a send left; return the next send."""
-        self.out.pop(token)
+        cause = self.out.pop(token).cause
         self.attempts -= 1
         self.unsent_count += 1
         if self.unsent_count > MAX_UNSENT or self.out:
             return None
-        return self._send(send_cause.FIRST if self.attempts == 0 else send_cause.RETRY, now)
+        return self._send(cause, now, paid=True)
 
     def not_run(self, token: int, now: float) -> PartSend | None:
         """Take in that the upstream did not run it; return the next send."""
@@ -78,7 +78,7 @@
         """Return the time of the next `tick`."""
         return self.end_at if self.hedged else min(self.hedge_at, self.end_at)
 
-    def _send(self, cause: str, now: float) -> PartSend | None:
+    def _send(self, cause: str, now: float, paid: bool = False) -> PartSend | None:
         if self.attempts >= self.route.max_attempts or self.end_at - now < const.LEAST_USEFUL_S:
             return None
         replica = self.book.replicas.choose(
@@ -86,7 +86,8 @@
         )
         if replica is None:
             return None
-        if cause != send_cause.FIRST and not self.book.take_repeat(self.service, now):
+        free = paid or cause == send_cause.FIRST
+        if not free and not self.book.take_repeat(self.service, now):
             return None
         send = PartSend(next_token(), 0, replica, cause)
         self.tried.append(replica)
