--- /dev/null
+++ b/tests/decisions/consensus/test_auto_membership.py
@@ -0,0 +1,103 @@
+"""A membership that follows the instances that live."""
+
+import unittest
+
+from nose2.tools import params
+
+from spindle_decisions.consensus.membership_set import MembershipSet
+from spindle_decisions.consensus.role import Role
+from tests.decisions.consensus.common import Cluster
+
+
+def create_growing(founders: int, all_names: str) -> Cluster:
+    """Return a cluster whose first instances founded it; the others start blank."""
+    cluster = Cluster(all_names, auto_join=True, quick_start=True)
+    members = cluster.membership().members[:founders]
+    for member in members:
+        cluster[member.name].node.bootstrap(MembershipSet(members))
+    for name in all_names[founders:]:
+        cluster.down.add(name)
+    cluster.settle()
+    cluster.elect()
+    return cluster
+
+
+def voters(cluster: Cluster) -> str:
+    """Return the committed voters as the leader has them."""
+    state = cluster[cluster.elect()].node.state
+    membership = state.history.at(state.commit_index).membership
+    return "".join(sorted(member.name for member in membership.voters()))
+
+
+class TestAutoMembership(unittest.TestCase):
+    def test_a_fourth_instance_joins_by_itself(self) -> None:
+        cluster = create_growing(3, "abcd")
+        cluster.propose(b"x")
+        cluster.down.clear()
+        cluster.run(3)
+        self.assertEqual(voters(cluster), "abcd")
+        self.assertEqual(cluster["d"].applied, [b"x"])
+
+    @params((3, "abc", "abcd"), (4, "abcd", "abcde"))
+    def test_a_replaced_instance_makes_room(self, founders: int, old: str, everybody: str) -> None:
+        cluster = create_growing(founders, everybody)
+        lost = next(name for name in old if name != cluster.leader())
+        cluster.down = {lost}
+        cluster.run(12)
+        self.assertEqual(voters(cluster), "".join(sorted(set(everybody) - {lost})))
+        cluster.propose(b"x")
+        cluster.run(1)
+        self.assertEqual(cluster[everybody[-1]].applied, [b"x"])
+
+    def test_three_voters_stay_three_without_a_newcomer(self) -> None:
+        cluster = create_growing(3, "abc")
+        cluster.down.add(next(name for name in "abc" if name != cluster.leader()))
+        cluster.run(20)
+        self.assertEqual(voters(cluster), "abc")
+
+    def test_one_that_was_only_cut_off_comes_back_as_a_voter(self) -> None:
+        cluster = create_growing(4, "abcd")
+        away = next(name for name in "abcd" if name != cluster.leader())
+        cluster.cut_off(away)
+        cluster.run(10)
+        self.assertEqual(voters(cluster), "".join(sorted(set("abcd") - {away})))
+        cluster.propose(b"x")
+        cluster.heal()
+        cluster.run(5)
+        self.assertEqual(voters(cluster), "abcd")
+        self.assertEqual(cluster[away].applied, [b"x"])
+        self.assertEqual(cluster[away].node.role, Role.FOLLOWER)
+
+    def test_a_cut_leader_that_comes_back_undoes_nothing(self) -> None:
+        cluster = create_growing(4, "abcd")
+        old = cluster.elect()
+        cluster.cut_off(old)
+        cluster.run(10)
+        cluster.propose(b"x")
+        cluster.heal()
+        cluster.run(5)
+        self.assertEqual({tuple(cluster[name].applied) for name in "abcd"}, {(b"x",)})
+
+    def test_a_newcomer_that_never_answers_does_not_vote(self) -> None:
+        cluster = create_growing(3, "abcd")
+        cluster.down.clear()
+        leader = cluster.elect()
+        cluster.cuts.add((leader, "d"))
+        cluster.run(2)
+        self.assertEqual(voters(cluster), "abc")
+
+    def test_an_emptied_instance_comes_back_under_its_name(self) -> None:
+        cluster = create_growing(4, "abcd")
+        name = next(name for name in "abcd" if name != cluster.leader())
+        cluster.propose(b"x")
+        cluster.wipe(name, f"{name}-2")
+        cluster.run(5)
+        self.assertEqual(voters(cluster), "abcd")
+        self.assertEqual(cluster[name].applied, [b"x"])
+
+    def test_the_first_election_after_a_start_is_soon(self) -> None:
+        cluster = create_growing(3, "abc")
+        for name in "abc":
+            cluster[name].start(cluster.now)
+        cluster.run(0.6)
+        self.assertIsNotNone(cluster.leader())
--- /dev/null
+++ b/tests/decisions/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fleet as pure decisions."""
--- /dev/null
+++ b/tests/decisions/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of routed requests as pure decisions."""
--- /dev/null
+++ b/tests/decisions/routing/test_plan.py
@@ -0,0 +1,83 @@
+"""Plans: what is accepted, and which route a request has."""
+
+import unittest
+
+import msgspec
+from nose2.tools import params
+
+from spindle_decisions.exceptions import PlanError
+from spindle_decisions.routing.plan import RoutingPlan
+from spindle_decisions.routing.plan_check import check_plan
+from spindle_decisions.routing.route_table import RouteTable
+from spindle_decisions.routing.weighted_service import WeightedService
+from tests.decisions.routing.common import HOST, gather_route, service, single_route
+
+SERVICES = tuple(service(name) for name in ("desk", "s0", "s1", "s2", "s3"))
+
+
+def changed(**fields: object) -> RoutingPlan:
+    """Return a good plan whose first route has other fields."""
+    route = msgspec.structs.replace(single_route(), **fields)
+    return RoutingPlan(3, (route, gather_route()), SERVICES)
+
+
+class TestPlanCheck(unittest.TestCase):
+    def test_good_plan(self) -> None:
+        check_plan(changed())
+
+    @params(
+        ("version 0", RoutingPlan(0, (single_route(),), SERVICES)),
+        ("unknown service", changed(services=(WeightedService("nobody"),))),
+        ("unknown shard", changed(services=(), shards=("s0", "nobody"))),
+        ("no target", changed(services=())),
+        ("two kinds of target", changed(shards=("s0",))),
+        ("shard twice", changed(services=(), shards=("s0", "s0"))),
+        ("no weight", changed(services=(WeightedService("desk", 0), WeightedService("s0", 0)))),
+        ("weight below 0", changed(services=(WeightedService("desk", -1),))),
+        ("no time-out", changed(timeout_ms=0)),
+        ("prefix without slash", changed(prefix="/lookup")),
+        ("same place", RoutingPlan(3, (single_route(), single_route()), SERVICES)),
+        (
+            "same place in other letters",
+            RoutingPlan(
+                3,
+                (single_route(), msgspec.structs.replace(single_route(), host=HOST.upper())),
+                SERVICES,
+            ),
+        ),
+        ("service twice", RoutingPlan(3, (single_route(),), (*SERVICES, service("desk")))),
+    )
+    def test_refused(self, _name: str, plan: RoutingPlan) -> None:
+        with self.assertRaises(PlanError):
+            check_plan(plan)
+
+
+class TestRouteTable(unittest.TestCase):
+    @params(
+        ("/a/x", "a"),
+        ("/a/", "a"),
+        ("/a/b/c?q=/a/b/c/d/", "ab"),
+        ("/a/bc", "a"),
+        ("/a", None),
+        ("/c/", None),
+        ("/A/x", None),
+        ("/a/%62/c", "a"),
+    )
+    def test_longest_prefix(self, target: str, name: str | None) -> None:
+        routes = [("a", "/a/"), ("ab", "/a/b/"), ("other", "/z/")]
+        table = RouteTable(
+            RoutingPlan(
+                1,
+                tuple(
+                    msgspec.structs.replace(single_route(), name=name, prefix=prefix)
+                    for name, prefix in routes
+                ),
+            )
+        )
+        found = table.find(HOST, target)
+        self.assertEqual(found.name if found else None, name)
+
+    @params((HOST, True), (HOST.upper(), True), (f"{HOST}:8080", True), ("other.example", False))
+    def test_host(self, host: str, found: bool) -> None:
+        table = RouteTable(RoutingPlan(1, (single_route(),)))
+        self.assertEqual(table.find(host, "/lookup/1") is not None, found)
--- /dev/null
+++ b/tests/decisions/routing/test_repeat_budget.py
@@ -0,0 +1,52 @@
+"""The budget of repeats that all instances share."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from spindle_decisions.routing.budget_bounds import BudgetBounds
+from spindle_decisions.routing.repeat_budget import RepeatBudget
+
+BOUNDS = BudgetBounds(ratio=0.2, window_s=10.0, burst=52)
+
+
+class TestRepeatBudget(unittest.TestCase):
+    @params((1, 1), (6, 2), (9, 3), (12, 4))
+    def test_no_window_is_over_the_bound(self, instances: int, seed: int) -> None:
+        """All instances repeat whenever they may, with uneven load that comes and goes."""
+        rng = random.Random(seed)
+        budgets = [RepeatBudget(BOUNDS) for _ in range(instances)]
+        weights = [rng.uniform(0.1, 3.0) for _ in budgets]
+        requests: list[float] = []
+        repeats: list[float] = []
+        now = 0.0
+        while now < 60.0:
+            now += rng.expovariate(40 if now % 20 < 10 else 5)
+            budget = rng.choices(budgets, weights)[0]
+            budget.requested(now)
+            requests.append(now)
+            while budget.take(now, instances):
+                repeats.append(now)
+        for start in (value / 4 for value in range(240)):
+            end = start + BOUNDS.window_s
+            in_window = sum(start <= at < end for at in repeats)
+            counted = max(
+                sum(start - back <= at < end - back for at in requests) for back in (0, 5, 10)
+            )
+            self.assertLessEqual(in_window, BOUNDS.ratio * counted + BOUNDS.burst)
+
+    def test_recovers_after_the_window(self) -> None:
+        budget = RepeatBudget(BOUNDS)
+        while budget.take(0.0, 1):
+            pass
+        self.assertFalse(budget.take(5.0, 1))
+        self.assertTrue(budget.take(11.0, 1))
+
+    def test_what_was_never_sent_is_given_back(self) -> None:
+        budget = RepeatBudget(BOUNDS)
+        while budget.take(0.0, 1):
+            pass
+        budget.give_back(0.0)
+        self.assertTrue(budget.take(0.0, 1))
+        self.assertFalse(budget.take(0.0, 1))
--- /dev/null
+++ b/tests/decisions/routing/test_replicas.py
@@ -0,0 +1,124 @@
+"""Which upstream a request goes to."""
+
+import unittest
+
+from nose2.tools import params
+
+from spindle_decisions.routing import const
+from spindle_decisions.routing.replica import Replica
+from tests.decisions.routing.common import AWAY, HERE, book, listed
+
+NOW = 100.0
+USUAL_S = 0.01
+
+
+class TestChoice(unittest.TestCase):
+    def setUp(self) -> None:
+        self.book = book(listed("near", "s0", HERE), listed("far", "s0", AWAY))
+        self.near = self.book.replicas.replicas["near"]
+        self.far = self.book.replicas.replicas["far"]
+
+    def chosen(self, now: float = NOW, *tried: Replica) -> str | None:
+        replica = self.book.replicas.choose("s0", now, USUAL_S, tried)
+        return replica.upstream_id if replica else None
+
+    def test_the_near_one_when_both_are_alike(self) -> None:
+        self.assertEqual(self.chosen(), "near")
+
+    def test_not_one_that_was_tried(self) -> None:
+        self.assertEqual(self.chosen(NOW, self.near), "far")
+        self.assertIsNone(self.chosen(NOW, self.near, self.far))
+
+    def test_not_one_that_stands_still(self) -> None:
+        self.near.sent(1, NOW - 0.05)
+        self.assertEqual(self.chosen(), "far")
+
+    def test_not_one_that_reports_a_queue(self) -> None:
+        self.near.load_reported(NOW, 2, 5)
+        self.assertEqual(self.chosen(), "far")
+        self.assertEqual(self.chosen(NOW + 2 * const.LOAD_FRESH_S), "near")
+
+    def test_not_a_slow_one_until_it_is_tried_again(self) -> None:
+        for _ in range(5):
+            self.near.answered(NOW, 10 * USUAL_S, USUAL_S)
+        self.assertEqual(self.chosen(), "far")
+        self.assertEqual(self.chosen(NOW + 20 * const.PACE_HALF_LIFE_S), "near")
+
+    def test_not_one_that_fails_often(self) -> None:
+        self.near.failed(NOW)
+        self.assertEqual(self.chosen(), "far")
+
+    def test_not_one_without_connections_to_spare(self) -> None:
+        self.near.connection_share = 1
+        self.near.sent(1, NOW)
+        self.assertEqual(self.chosen(), "far")
+
+    @params("near", "far")
+    def test_ejected_ones_when_there_is_no_other(self, only: str) -> None:
+        for replica in (self.near, self.far):
+            for _ in range(const.EJECT_AFTER):
+                replica.failed(NOW)
+        tried = self.far if only == "near" else self.near
+        self.assertEqual(self.chosen(NOW, tried), only)
+
+    def test_an_unreachable_one_is_left_out_at_once(self) -> None:
+        self.book.replicas.unreachable(self.near, NOW)
+        self.assertTrue(self.near.ejected(NOW))
+        self.assertEqual(self.chosen(), "far")
+
+    def test_an_address_that_another_upstream_has_now(self) -> None:
+        self.near.misplaced(NOW)
+        self.assertEqual(self.chosen(NOW + const.MISPLACED_S - 0.1), "far")
+
+
+class TestList(unittest.TestCase):
+    def test_leaving_and_gone_get_no_new_request(self) -> None:
+        made = book(listed("a", "s0"), listed("b", "s0"), listed("c", "s0"))
+        left = (listed("a", "s0", draining=True), listed("c", "s0"))
+        gone = made.replicas.take_list(NOW, left)
+        self.assertEqual([item.upstream_id for item in gone], ["b"])
+        chosen = {made.replicas.choose("s0", NOW, USUAL_S) for _ in range(20)}
+        self.assertEqual({item.upstream_id for item in chosen if item}, {"c"})
+
+    def test_a_kept_upstream_keeps_what_is_known_of_it(self) -> None:
+        made = book(listed("a", "s0"))
+        before = made.replicas.replicas["a"]
+        made.replicas.take_list(NOW, (listed("a", "s0"),))
+        self.assertIs(made.replicas.replicas["a"], before)
+
+    def test_the_same_id_at_another_place_is_another_upstream(self) -> None:
+        made = book(listed("a", "s0"))
+        before = made.replicas.replicas["a"]
+        gone = made.replicas.take_list(NOW, (listed("a", "s1"),))
+        self.assertEqual(gone, [before])
+        self.assertIsNone(made.replicas.choose("s0", NOW, USUAL_S))
+
+    @params((25, 6, 3), (25, 9, 2), (26, 9, 2), (25, 100, 1), (96, 6, 13))
+    def test_shares_of_connections(self, bound: int, instances: int, share: int) -> None:
+        made = book(listed("a", "s0"))
+        made.replicas.share_connections({"s0": bound}, instances)
+        self.assertEqual(made.replicas.replicas["a"].connection_share, share)
+        self.assertLessEqual(share * instances, max(bound, instances))
+
+
+class TestDarkDataCenter(unittest.TestCase):
+    def setUp(self) -> None:
+        away = [listed(f"away{number}", f"s{number}", AWAY) for number in range(5)]
+        here = [listed(f"here{number}", f"s{number}", HERE) for number in range(5)]
+        self.book = book(*away, *here)
+        for number in range(const.DARK_AFTER):
+            replica = self.book.replicas.replicas[f"away{number}"]
+            self.book.replicas.unreachable(replica, NOW)
+
+    def test_its_other_upstreams_are_left_alone(self) -> None:
+        replica = self.book.replicas.replicas["away4"]
+        self.assertFalse(self.book.replicas.sound(replica, NOW))
+
+    def test_they_are_tried_again_after_a_while(self) -> None:
+        replica = self.book.replicas.replicas["away4"]
+        self.assertTrue(self.book.replicas.sound(replica, NOW + const.DARK_S + 0.01))
+
+    def test_one_answer_ends_it(self) -> None:
+        replica = self.book.replicas.replicas["away4"]
+        self.book.replicas.answered(replica, NOW, USUAL_S, USUAL_S)
+        self.assertTrue(self.book.replicas.sound(replica, NOW))
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform's names, formats and calls."""
--- /dev/null
+++ b/tests/platform/test_plan_codec.py
@@ -0,0 +1,97 @@
+"""Configurations as plans."""
+
+import json
+import unittest
+from typing import Any
+
+from nose2.tools import params
+
+from spindle_decisions.exceptions import PlanError
+from spindle_decisions.routing.plan_check import check_plan
+from spindle_platform.plan_codec import JsonPlanCodec
+
+LOOKUP: dict[str, Any] = {
+    "name": "r-1",
+    "host": "one.example",
+    "pathPrefix": "/a/",
+    "kind": "idempotent",
+    "timeoutMs": 2000,
+    "targetLatencyMs": 400,
+    "priority": 2,
+    "service": "s0",
+    "maxAttempts": 2,
+}
+GATHER: dict[str, Any] = {
+    "name": "r-2",
+    "host": "one.example",
+    "pathPrefix": "/b/",
+    "kind": "idempotent",
+    "timeoutMs": 600,
+    "targetLatencyMs": 118,
+    "priority": 1,
+    "gather": ["s0", "s1"],
+    "maxAttempts": 2,
+    "topK": 20,
+    "minShare": 0.89,
+}
+SERVICE: dict[str, Any] = {"healthPath": "/health", "maxConns": 25, "protocol": "h1", "tls": False}
+DOCUMENT: dict[str, Any] = {
+    "version": 7,
+    "routes": [LOOKUP, GATHER],
+    "services": [{"name": name, **SERVICE} for name in ("s0", "s1")],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "idleTimeoutMs": 15000},
+}
+
+
+def encoded(**changes: Any) -> bytes:
+    """Return the document with other fields."""
+    return json.dumps({**DOCUMENT, **changes}).encode()
+
+
+class TestPlanCodec(unittest.TestCase):
+    def test_each_field_is_where_it_says(self) -> None:
+        plan = JsonPlanCodec().decode(encoded())
+        check_plan(plan)
+        lookup, gather = plan.routes
+        self.assertEqual((plan.version, len(plan.services)), (7, 2))
+        self.assertEqual([item.service for item in lookup.services], ["s0"])
+        self.assertEqual((lookup.timeout_ms, lookup.aim_ms, lookup.max_attempts), (2000, 400, 2))
+        self.assertEqual((gather.shards, gather.top_records), (("s0", "s1"), 20))
+        self.assertEqual(gather.least_share, 0.89)
+        self.assertEqual(plan.services[0].max_connections, 25)
+        self.assertEqual(plan.limits.idle_timeout_ms, 15_000)
+
+    @params(("idempotent", True), ("non_idempotent", False), ("something-new", False))
+    def test_only_what_says_so_may_be_repeated(self, kind: str, idempotent: bool) -> None:
+        plan = JsonPlanCodec().decode(encoded(routes=[{**LOOKUP, "kind": kind}]))
+        self.assertEqual(plan.routes[0].idempotent, idempotent)
+
+    def test_split(self) -> None:
+        parts = [{"service": "s0", "weight": 3}, {"service": "s1", "weight": 1}]
+        route = {key: value for key, value in LOOKUP.items() if key != "service"}
+        plan = JsonPlanCodec().decode(encoded(routes=[{**route, "trafficSplit": parts}]))
+        self.assertEqual([item.weight for item in plan.routes[0].services], [3, 1])
+
+    @params(
+        ("cut short", encoded()[:-20]),
+        ("empty", b""),
+        ("no object", b"[]"),
+        ("no version", json.dumps({"routes": [], "services": []}).encode()),
+        ("text as version", encoded(version="7")),
+        ("no bytes of text", encoded().replace(b"one.example", b"\xff\xfe")),
+        ("route without prefix", encoded(routes=[{"name": "r", "host": "h", "kind": "k"}])),
+    )
+    def test_what_cannot_be_read_in_full(self, _name: str, document: bytes) -> None:
+        with self.assertRaises(PlanError):
+            JsonPlanCodec().decode(document)
+
+    @params(
+        {"service": "nobody"},
+        {"timeoutMs": 0},
+        {"service": None, "trafficSplit": [{"service": "s0", "weight": 0}]},
+        {"pathPrefix": "/b/"},
+    )
+    def test_what_cannot_be_in_force(self, changes: dict[str, Any]) -> None:
+        plan = JsonPlanCodec().decode(encoded(routes=[{**LOOKUP, **changes}, GATHER]))
+        with self.assertRaises(PlanError):
+            check_plan(plan)
--- /dev/null
+++ b/tests/platform/test_upstream_source.py
@@ -0,0 +1,91 @@
+"""The list of upstreams, read from a stand-in of the platform."""
+
+import json
+import unittest
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from gevent.pywsgi import WSGIServer
+from nose2.tools import params
+
+from spindle_decisions.exceptions import UpstreamListError
+from spindle_platform.upstream_source import HttpUpstreamSource
+
+GOOD: dict[str, Any] = {
+    "service": "s0",
+    "address": "10.128.0.9:8080",
+    "zone": "rennes-a",
+    "version": "v1",
+    "maxConcurrency": 2,
+    "state": "ready",
+    "warmupLeftMs": 0,
+    "id": "i-1",
+}
+
+
+class Platform:
+    """Serves pages; `pages` maps the query string to status and body."""
+
+    def __init__(self) -> None:
+        self.pages: dict[str, tuple[str, bytes]] = {}
+        self.calls: list[str] = []
+        self.server = WSGIServer(("127.0.0.1", 0), self, log=None)
+        self.server.start()
+
+    def __call__(self, environ: dict[str, Any], start: Callable[..., Any]) -> Iterable[bytes]:
+        query = environ["QUERY_STRING"]
+        self.calls.append(query)
+        status, body = self.pages[query]
+        start(status, [("Content-Length", str(len(body)))])
+        return [body]
+
+    def serve(self, query: str, entries: list[Any], token: str | None = None) -> None:
+        """Set a page."""
+        page = {"instances": entries, "nextToken": token}
+        self.pages[query] = ("200 OK", json.dumps(page).encode())
+
+
+class TestUpstreamSource(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = Platform()
+        self.addCleanup(self.platform.server.stop)
+        self.source = HttpUpstreamSource("127.0.0.1", self.platform.server.server_port)
+
+    def test_all_pages(self) -> None:
+        self.platform.serve("", [GOOD], "p-50")
+        self.platform.serve("pageToken=p-50", [{**GOOD, "id": "i-2", "state": "draining"}])
+        upstreams = self.source.read()
+        self.assertEqual([item.upstream_id for item in upstreams], ["i-1", "i-2"])
+        self.assertEqual([item.draining for item in upstreams], [False, True])
+        self.assertEqual((upstreams[0].host, upstreams[0].port), ("10.128.0.9", 8080))
+
+    @params(
+        {"id": 5},
+        {"state": "gone-fishing"},
+        {"state": None},
+        {"address": "nowhere"},
+        {"address": "10.128.0.9:99999"},
+        {"address": "host.example:80"},
+        {"maxConcurrency": "2"},
+    )
+    def test_an_entry_of_another_writer_is_left_out(self, changes: dict[str, Any]) -> None:
+        self.platform.serve("", [{**GOOD, **changes}, {**GOOD, "id": "i-2"}, "text", None])
+        self.assertEqual([item.upstream_id for item in self.source.read()], ["i-2"])
+        self.assertEqual(self.source.malformed, 3)
+
+    @params(
+        ("429 Too Many Requests", b"{}"),
+        ("200 OK", b"no page"),
+        ("200 OK", b'{"instances": 7}'),
+        ("500 Internal Server Error", b""),
+    )
+    def test_a_page_that_cannot_be_read_spoils_the_whole(self, status: str, body: bytes) -> None:
+        self.platform.serve("", [GOOD], "p-50")
+        self.platform.pages["pageToken=p-50"] = (status, body)
+        with self.assertRaises(UpstreamListError):
+            self.source.read()
+
+    def test_a_platform_that_is_gone(self) -> None:
+        self.platform.server.stop()
+        with self.assertRaises(UpstreamListError):
+            self.source.read()
