Found together, start faster, leave the rotation while cut off, refuse what cannot be reached

A cut-off entry instance stayed ready although too few shards could be reached, sent to them all the same and answered 502. Imports took 0.74 s of processor at a start. Ruled out: upstreams or budget; the failures end with the cut.

--- a/packages/daemon/src/spindle_daemon/components/admin/admin_app.py
+++ b/packages/daemon/src/spindle_daemon/components/admin/admin_app.py
@@ -5,12 +5,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-import prometheus_client
-
 from spindle_daemon.components.admin import const
 from spindle_daemon.components.admin.admin_request import AdminRequest
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.json_response import JsonResponse, json_error, json_ok
+from spindle_daemon.helpers.lazy_metrics import render_metrics
 from spindle_decisions.exceptions import BadRequestError, SpindleError
 from spindle_decisions.wire.request_signature import verify_request
 
@@ -50,8 +49,8 @@
     def _answer(self, environ: dict[str, Any]) -> JsonResponse:
         path = environ["PATH_INFO"]
         if path == const.PATH_METRICS:
-            text = prometheus_client.generate_latest()
-            return JsonResponse(200, text, content_type=prometheus_client.CONTENT_TYPE_LATEST)
+            text, content_type = render_metrics()
+            return JsonResponse(200, text, content_type=content_type)
         if path == const.PATH_LIVE:
             return json_ok("live")
         if path == const.PATH_READY:
--- a/packages/daemon/src/spindle_daemon/components/fleet/const.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/const.py
@@ -2,6 +2,8 @@
 
 HELLO_S = 0.4
 BEAT_S = 0.4
+# Until a plan is held.
+BEAT_HASTY_S = 0.1
 READ_TICK_S = 0.1
 # The least time between two reads after one that failed.
 READ_RETRY_S = 0.5
--- a/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
@@ -100,7 +100,7 @@
         hello = FleetHello(
             self.me,
             self.folder_id,
-            self.fleet.founding and self.driver.node.role is Role.BLANK,
+            self.founding.is_seed,
             self.table.report(now),
             self.keeper.held.digest,
             self._list_age_ms(now),
--- a/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
@@ -7,6 +7,7 @@
 import gevent
 
 from spindle_daemon.components.fleet.const import (
+    BEAT_HASTY_S,
     BEAT_S,
     PLAN_SURE_S,
     PLAN_SURE_WAIT_S,
@@ -54,6 +55,7 @@
         self.plan_at = math.inf
         self.sure_at = -math.inf
         self.was_sure = False
+        self.quorum_at = spindle.clock.now()
         self.instances = 1
         self.asked_at: dict[str, float] = {}
         self.answered_at: dict[str, float] = {}
@@ -77,7 +79,7 @@
 
     def start(self) -> None:
         """Start the greenlets."""
-        gevent.spawn(run_every, "fleet", lambda: BEAT_S, self._beat)
+        gevent.spawn(run_every, "fleet", self._beat_s, self._beat)
         self.reader.start()
 
     def leave(self) -> None:
@@ -94,12 +96,19 @@
         now = self.spindle.clock.now()
         return now - self.sure_at < PLAN_SURE_S or now - self.plan_at > PLAN_SURE_WAIT_S
 
+    def quorum_age_s(self) -> float:
+        """Return the seconds since a control instance had word from a quorum."""
+        return self.spindle.clock.now() - self.quorum_at
+
     def settled(self) -> bool:
         """Return whether a plan of this life was ever sure; a later doubt changes nothing."""
         if not self.was_sure:
             self.was_sure = self.sure()
         return self.was_sure
 
+    def _beat_s(self) -> float:
+        return BEAT_S if self.was_sure else BEAT_HASTY_S
+
     def _beat(self) -> None:
         now = self.spindle.clock.now()
         targets = self._targets()
@@ -131,6 +140,7 @@
             if heard.instance.name == beat.control:
                 self.answered_at[heard.instance.address] = now
                 self.asked_at.pop(heard.instance.address, None)
+        self.quorum_at = max(self.quorum_at, now - beat.quorum_age_ms / MS_PER_S)
         if beat.quorum_age_ms < PLAN_SURE_S * MS_PER_S:
             if beat.plan_version <= self.plan.version:
                 self.sure_at = now
--- a/packages/daemon/src/spindle_daemon/components/routed/application.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/application.py
@@ -54,7 +54,7 @@
             start(f"{STATUS_CLOSED} Client Closed Request", [("Content-Length", "0")])
             return []
         headers = list(answer.headers)
-        if self.spindle.leaving:
+        if self.spindle.leaving or self.coordinator.cut_off():
             headers.append(CLOSE)
         start(f"{answer.status} {answer.reason}".rstrip(), headers)
         return [answer.body]
--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -16,8 +16,9 @@
 from spindle_daemon.core.dialect import Dialect
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.settings.routed_settings import RoutedSettings
-from spindle_decisions.exceptions import NoPlanError, UnknownRouteError
+from spindle_decisions.exceptions import NoPlanError, OverloadedError, UnknownRouteError
 from spindle_decisions.routing.budget_bounds import BudgetBounds
+from spindle_decisions.routing.const import QUORUM_LOST_S
 from spindle_decisions.routing.plan import EMPTY_PLAN
 from spindle_decisions.routing.route_table import RouteTable
 from spindle_decisions.routing.serving_book import ServingBook
@@ -45,7 +46,19 @@
 
     def ready(self) -> bool:
         """Return whether requests can be served from a plan that is surely the newest."""
-        return bool(self.table.plan.version and self.book.replicas.replicas and self.desk.sure())
+        holds = self.table.plan.version and self.book.replicas.replicas and self.desk.settled()
+        return bool(holds) and not self.cut_off()
+
+    def cut_off(self) -> bool:
+        """Return whether callers are better served elsewhere.
+
+        That is so when this instance hears no quorum, or reaches no other data centre,
+        and cannot serve a route for that reason. While it can serve, it goes on.
+        """
+        now = self.spindle.clock.now()
+        if self.desk.quorum_age_s() < QUORUM_LOST_S and not self.book.replicas.cut_off(now):
+            return False
+        return self.book.lacks_service(self.table.plan.routes, now)
 
     def serve(
         self, request: RoutedRequest, caller: Caller, record: RunRecord
@@ -57,6 +70,8 @@
         if route is None:
             raise UnknownRouteError("no route for this host and path")
         record.route = route.name
+        if not self.book.admit(route, self.spindle.clock.now()):
+            raise OverloadedError("too few upstreams can be reached")
         crew = SendCrew(self.spindle.clock, self.sender, request, record)
         runner_type = GatherRunner if route.shards else SingleRunner
         runner = runner_type(crew, self.book, route)
--- a/packages/daemon/src/spindle_daemon/components/routed/sender.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/sender.py
@@ -43,7 +43,8 @@
         try:
             return self._exchange(send, text, method, request_id, end_at, usual, repeatable)
         except gevent.GreenletExit:
-            replica.overtaken(self.clock.now(), self.clock.now() - started, usual.seconds)
+            now = self.clock.now()
+            self.replicas.silent(replica, now, now - started, usual.seconds)
             raise
         finally:
             replica.ended(send.token)
@@ -73,7 +74,7 @@
             if err is not timeout:
                 raise
             now = self.clock.now()
-            replica.overtaken(now, now - started, usual.seconds)
+            self.replicas.silent(replica, now, now - started, usual.seconds)
             return SendResult(send, None, None, False, "no answer in time")
         return self._judged(send, reply, request_id, started, usual)
 
--- a/packages/decisions/src/spindle_decisions/fleet/founding.py
+++ b/packages/decisions/src/spindle_decisions/fleet/founding.py
@@ -10,7 +10,8 @@
 
     All seeds make the same membership from the same words, so none of them has to
     lead, and whoever founds twice founds the same. A process that does not start the
-    deployment, or is no seed, never founds: it asks to be taken in.
+    deployment, or is no seed, never founds: it asks to be taken in. A seed goes on to
+    say which folder it has after it founded, as the others may not have heard it yet.
     """
 
     def __init__(self, address: str, name: str, folder_id: str, seeds: tuple[str, ...]) -> None:
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -21,6 +21,14 @@
 # off, and how long it is then left alone.
 DARK_AFTER = 3
 DARK_S = 1.0
+# A request without any answer for this long counts towards that as well.
+SILENT_S = 0.2
+# While a route cannot be served, one request in this time is tried all the same.
+TRIAL_S = 0.25
+# A route is looked at for readiness while it had requests this lately.
+ROUTE_IN_USE_S = 10.0
+# Without word from a quorum for this long an instance may be cut off.
+QUORUM_LOST_S = 1.2
 # An address that belongs to another upstream now is left alone until the list shows it.
 MISPLACED_S = 6.0
 # Hedges go out after this many usual times, and at the latest after this part of the aim.
--- a/packages/decisions/src/spindle_decisions/routing/data_center_watch.py
+++ b/packages/decisions/src/spindle_decisions/routing/data_center_watch.py
@@ -27,6 +27,10 @@
         if len(failed) >= const.DARK_AFTER:
             self.dark_until[data_center] = now + const.DARK_S
 
+    def all_dark(self, data_centers: set[str], now: float) -> bool:
+        """Return whether there are data centres and none can be reached."""
+        return bool(data_centers) and all(self.is_dark(name, now) for name in data_centers)
+
     def is_dark(self, data_center: str, now: float) -> bool:
         """Return whether the data centre is to be left alone."""
         return now < self.dark_until.get(data_center, 0.0)
--- a/packages/decisions/src/spindle_decisions/routing/replica.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica.py
@@ -23,6 +23,7 @@
         self.failing_at = 0.0
         self.failures_in_row = 0
         self.ejected_until = 0.0
+        self.cut_until = 0.0
         self.reported = 0
         self.reported_at = -const.LOAD_FRESH_S
         self.warm_at = 0.0
@@ -61,6 +62,7 @@
         self.failing = self.failing_now(now) * (1 - const.FAILURE_WEIGHT)
         self.failing_at = now
         self.failures_in_row = 0
+        self.cut_until = 0.0
         self.answered_at = now
 
     def overtaken(self, now: float, waited_s: float, usual_s: float) -> None:
@@ -75,6 +77,7 @@
         """Take in that no connection came about; it is left out at once."""
         self.failures_in_row = max(self.failures_in_row, const.EJECT_AFTER - 1)
         self.failed(now)
+        self.cut_until = self.ejected_until
 
     def failed(self, now: float) -> None:
         """Take in a failure."""
--- a/packages/decisions/src/spindle_decisions/routing/replica_book.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica_book.py
@@ -66,6 +66,30 @@
         dark = self.watch.is_dark(replica.listed.data_center, now)
         return not dark and not replica.ejected(now)
 
+    def reachable(self, service: str, now: float) -> bool:
+        """Return whether some upstream of a service may be reached as far as is known."""
+        return any(
+            item.usable()
+            and now >= item.cut_until
+            and not self.watch.is_dark(item.listed.data_center, now)
+            for item in self.by_service.get(service, ())
+        )
+
+    def cut_off(self, now: float) -> bool:
+        """Return whether no other data centre that has upstreams can be reached."""
+        others = {
+            item.listed.data_center
+            for item in self.replicas.values()
+            if item.listed.data_center != self.data_center
+        }
+        return self.watch.all_dark(others, now)
+
+    def silent(self, replica: Replica, now: float, waited_s: float, usual_s: float) -> None:
+        """Take in that nothing came back for so long, and that nobody waits any more."""
+        replica.overtaken(now, waited_s, usual_s)
+        if waited_s >= const.SILENT_S:
+            self.watch.unreachable(replica.listed.data_center, replica.upstream_id, now)
+
     def answered(self, replica: Replica, now: float, took_s: float, usual_s: float) -> None:
         """Take in a good answer of an upstream."""
         replica.answered(now, took_s, usual_s)
--- a/packages/decisions/src/spindle_decisions/routing/serving_book.py
+++ b/packages/decisions/src/spindle_decisions/routing/serving_book.py
@@ -1,6 +1,8 @@
 """What all requests of an instance share."""
 
+import math
 import random
+from collections.abc import Iterable
 
 from spindle_decisions.routing import const
 from spindle_decisions.routing.budget_bounds import BudgetBounds
@@ -21,6 +23,8 @@
         self.instances = 1
         self.usuals: dict[str, UsualTime] = {}
         self.budgets: dict[str, RepeatBudget] = {}
+        self.used_at: dict[str, float] = {}
+        self.tried_at: dict[str, float] = {}
 
     def usual(self, route: Route) -> UsualTime:
         """Return the usual time of one upstream's answer on a route."""
@@ -42,6 +46,35 @@
         """Take one repeat from the budget of a service; return whether there was one."""
         return self.budget(service).take(now, self.instances)
 
+    def servable(self, route: Route, now: float) -> bool:
+        """Return whether enough of a route's services can be reached as far as is known."""
+        if not route.shards:
+            return any(self.replicas.reachable(item.service, now) for item in route.services)
+        reached = sum(self.replicas.reachable(name, now) for name in route.shards)
+        return reached / len(route.shards) >= route.least_share
+
+    def admit(self, route: Route, now: float) -> bool:
+        """Return whether a request is to be tried, and note that the route is in use.
+
+        What cannot be served is refused before anything is sent, but for one request
+        at a time that finds out whether it can be served again.
+        """
+        self.used_at[route.name] = now
+        if self.servable(route, now):
+            return True
+        if now - self.tried_at.get(route.name, 0.0) < const.TRIAL_S:
+            return False
+        self.tried_at[route.name] = now
+        return True
+
+    def lacks_service(self, routes: Iterable[Route], now: float) -> bool:
+        """Return whether a route in use cannot be served from here."""
+        return any(
+            now - self.used_at.get(route.name, -math.inf) < const.ROUTE_IN_USE_S
+            and not self.servable(route, now)
+            for route in routes
+        )
+
     def pick_service(self, route: Route) -> str:
         """Return the service of a request by the weights of its route."""
         if len(route.services) == 1:
--- a/packages/decisions/src/spindle_decisions/wire/fleet_hello.py
+++ b/packages/decisions/src/spindle_decisions/wire/fleet_hello.py
@@ -9,8 +9,8 @@
 class FleetHello(msgspec.Struct, frozen=True, tag="fleet-hello"):
     """Sent to every control instance that is known, and to the seeds.
 
-    `folder_id` names the data folder; `founding` says that it is empty and that the
-    deployment starts for the first time. `heard` has every process that was heard
+    `folder_id` names the data folder; `founding` says that the sender is a seed that
+    was started to found the deployment. `heard` has every process that was heard
     lately. The list of upstreams is named by its digest and its age.
     """
 
--- a/tests/decisions/fleet/test_fleet.py
+++ b/tests/decisions/fleet/test_fleet.py
@@ -144,6 +144,17 @@
         self.assertEqual(made[0], made[1])
         self.assertEqual(made[0], made[2])
 
+    def test_one_that_founded_first_leaves_nobody_behind(self) -> None:
+        foundings = {own: self.found(own) for own in (1, 2, 3)}
+        first = foundings[1]
+        for other in (2, 3):
+            first.heard(self.hello(other, foundings[other].is_seed))
+        self.assertIsNotNone(first.membership())
+        for own in (2, 3):
+            foundings[own].heard(self.hello(1, first.is_seed))
+            foundings[own].heard(self.hello(5 - own, foundings[5 - own].is_seed))
+            self.assertEqual(foundings[own].membership(), first.membership())
+
     def test_one_that_does_not_found_is_waited_for(self) -> None:
         founding = self.found(1)
         founding.heard(self.hello(2))
--- a/tests/decisions/routing/test_replicas.py
+++ b/tests/decisions/routing/test_replicas.py
@@ -6,7 +6,7 @@
 
 from spindle_decisions.routing import const
 from spindle_decisions.routing.replica import Replica
-from tests.decisions.routing.common import AWAY, HERE, book, listed
+from tests.decisions.routing.common import AWAY, HERE, book, gather_route, listed, shard_book
 
 NOW = 100.0
 USUAL_S = 0.01
@@ -122,3 +122,51 @@
         replica = self.book.replicas.replicas["away4"]
         self.book.replicas.answered(replica, NOW, USUAL_S, USUAL_S)
         self.assertTrue(self.book.replicas.sound(replica, NOW))
+
+
+class TestServable(unittest.TestCase):
+    def setUp(self) -> None:
+        self.route = gather_route(4, 0.75)
+        self.book = shard_book(4, 2)
+        for number in range(const.DARK_AFTER):
+            replica = self.book.replicas.replicas[f"s{number}-b"]
+            self.book.replicas.unreachable(replica, NOW)
+
+    def lose(self, *names: str) -> None:
+        for name in names:
+            self.book.replicas.unreachable(self.book.replicas.replicas[name], NOW)
+
+    def test_one_data_center_is_enough(self) -> None:
+        self.assertTrue(self.book.admit(self.route, NOW))
+        self.assertTrue(self.book.replicas.cut_off(NOW))
+        self.assertFalse(self.book.lacks_service([self.route], NOW))
+
+    def test_too_few_shards_are_refused_but_for_a_trial(self) -> None:
+        self.lose("s0-a", "s1-a")
+        admitted = [self.book.admit(self.route, NOW + step * 0.01) for step in range(5)]
+        self.assertEqual(admitted, [True, False, False, False, False])
+        self.assertTrue(self.book.lacks_service([self.route], NOW))
+
+    def test_a_route_that_nobody_uses_does_not_count(self) -> None:
+        self.lose("s0-a", "s1-a")
+        self.assertFalse(self.book.lacks_service([self.route], NOW))
+
+    def test_an_answer_ends_it(self) -> None:
+        self.lose("s0-a", "s1-a")
+        for name in ("s0-a", "s0-b"):
+            replica = self.book.replicas.replicas[name]
+            self.book.replicas.answered(replica, NOW, USUAL_S, USUAL_S)
+        self.assertTrue(self.book.servable(self.route, NOW))
+
+    def test_upstreams_that_fail_can_still_be_reached(self) -> None:
+        for name in ("s0-a", "s1-a"):
+            for _ in range(const.EJECT_AFTER):
+                self.book.replicas.replicas[name].failed(NOW)
+        self.assertTrue(self.book.admit(self.route, NOW))
+
+    def test_silence_counts_like_a_refused_connection(self) -> None:
+        made = shard_book(4, 2)
+        for number in range(const.DARK_AFTER):
+            replica = made.replicas.replicas[f"s{number}-b"]
+            made.replicas.silent(replica, NOW, const.SILENT_S, USUAL_S)
+        self.assertTrue(made.replicas.cut_off(NOW))
