--- a/packages/daemon/src/spindle_daemon/components/routed/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/__init__.py
@@ -1,20 +1,27 @@
 """Routed requests: from a caller's connection to the upstreams and back."""
 
+from typing import TYPE_CHECKING
+
 from spindle_daemon.components.fleet.entry_desk import EntryDesk
 from spindle_daemon.components.fleet.plan_taken import PlanTaken
 from spindle_daemon.components.routed.application import RoutedApplication
 from spindle_daemon.components.routed.coordinator import RoutedCoordinator
 from spindle_daemon.components.routed.ready_app import ReadyApp
 from spindle_daemon.components.routed.request_log import RoutedLog
+from spindle_daemon.components.routed.routed_stats import RoutedStats
 from spindle_daemon.components.routed.stop import RoutedStop
 from spindle_daemon.core.dialect import Dialect
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.http_limits import HttpLimits
 from spindle_daemon.helpers.http_limits_handler import LimitsHandler
 from spindle_daemon.helpers.http_server import NoDelayServer, create_http_server
+from spindle_daemon.helpers.lazy_metrics import register_lazily
 from spindle_decisions.routing.caller_limits import CallerLimits
 from spindle_decisions.util.units import MS_PER_S
 
+if TYPE_CHECKING:
+    from spindle_daemon.components.routed.routed_collector import RoutedCollector
+
 
 def setup(spindle: Spindle, dialect: Dialect, desk: EntryDesk) -> None:
     """Start to listen for callers and for the balancer, and register the planned stop."""
@@ -23,7 +30,9 @@
     assert routed is not None
     assert routed.ready_listen is not None
     coordinator = RoutedCoordinator(spindle, routed, dialect, desk)
-    log = RoutedLog(spindle.clock)
+    stats = RoutedStats()
+    register_lazily(lambda: _collector(stats, coordinator))
+    log = RoutedLog(spindle.clock, stats)
     application = RoutedApplication(spindle, coordinator, dialect.headers, log)
     server = create_http_server(entry.listen, application, LimitsHandler)
     server.limits = _limits(CallerLimits(), entry.max_callers)
@@ -57,3 +66,9 @@
         body_timeout_s=limits.header_timeout_ms / MS_PER_S,
         idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
     )
+
+
+def _collector(stats: RoutedStats, coordinator: RoutedCoordinator) -> "RoutedCollector":
+    from spindle_daemon.components.routed.routed_collector import RoutedCollector
+
+    return RoutedCollector(stats, coordinator)
--- a/packages/daemon/src/spindle_daemon/components/routed/const.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/const.py
@@ -21,3 +21,5 @@
 STOP_MARGIN_S = 0.6
 # One plain success in so many is logged.
 LOG_SAMPLE = 50
+# Lines about single requests that one instance writes.
+LOG_LINES_PER_S = 100.0
--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -26,6 +26,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+LONGEST_AGE_S = 1e6
+
 
 class RoutedCoordinator:
     """Follows plan and list, and runs each request to its end."""
@@ -70,6 +72,7 @@
         if route is None:
             raise UnknownRouteError("no route for this host and path")
         record.route = route.name
+        record.beliefs = self._beliefs()
         if not self.book.admit(route, self.spindle.clock.now()):
             raise OverloadedError("too few upstreams can be reached")
         crew = SendCrew(self.spindle.clock, self.sender, request, record)
@@ -81,6 +84,15 @@
         finally:
             caller.unwatch()
 
+    def _beliefs(self) -> dict[str, object]:
+        now = self.spindle.clock.now()
+        return {
+            "plan": self.table.plan.version,
+            "list_age": round(min(self.desk.keeper.age(now), LONGEST_AGE_S), 1),
+            "quorum_age": round(self.desk.quorum_age_s(), 1),
+            "instances": self.book.instances,
+        }
+
     def _take_plan(self, event: PlanTaken) -> None:
         self.table = RouteTable(event.plan)
         self._share()
--- a/packages/daemon/src/spindle_daemon/components/routed/request_log.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/request_log.py
@@ -1,42 +1,71 @@
-"""The log lines of routed requests."""
+"""The log lines and counts of routed requests."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 from spindle_daemon.components.routed import const
+from spindle_daemon.components.routed.line_rate import LineRate
+from spindle_daemon.components.routed.routed_stats import RoutedStats
 from spindle_daemon.components.routed.run_record import RunRecord
 from spindle_daemon.core.clock import Clock
 from spindle_decisions.exceptions import SpindleError
+from spindle_decisions.routing.send_cause import FIRST
 from spindle_decisions.util.units import MS_PER_S
 
 _LOGGER = logging.getLogger(__name__)
 
+KIND_GATHER = "gather"
+KIND_SINGLE = "single"
+KIND_NONE = "none"
+
 
 class RoutedLog:
-    """One line for each request that did not end plainly, and for a sample of the others."""
+    """One line for each request that did not end plainly, and for a sample of the others.
+
+    Beyond a rate lines are left out, and a line says how many.
+    """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, stats: RoutedStats) -> None:
         self.clock = clock
+        self.stats = stats
+        self.rate = LineRate(const.LOG_LINES_PER_S)
         self.plain = 0
 
     def answered(self, request_id: str, arrived_at: float, record: RunRecord, status: int) -> None:
         """Log an answer; plain ones only once in `LOG_SAMPLE`."""
+        self._count("answered" if status < 400 else "passed-failure", arrived_at, record)
         plain = not record.notes and not record.repeats and record.end in ("", "whole")
-        if plain:
-            self.plain += 1
-            if self.plain % const.LOG_SAMPLE:
-                return
-        self._line("answered", request_id, arrived_at, record, (("status", status),))
+        if not plain:
+            self._line("answered", request_id, arrived_at, record, {"status": status})
+            return
+        self.plain += 1
+        if self.plain % const.LOG_SAMPLE == 0:
+            fields = {"status": status, "one_in": const.LOG_SAMPLE}
+            self._line("answered", request_id, arrived_at, record, fields)
 
     def refused(
         self, request_id: str, arrived_at: float, record: RunRecord, err: SpindleError
     ) -> None:
-        """Log a refusal with its code."""
-        self._line("refused", request_id, arrived_at, record, (("code", err.code),))
+        """Log a refusal with its code and reason."""
+        self._count(err.code, arrived_at, record)
+        fields = {"code": err.code, "reason": str(err)[:200]}
+        self._line("refused", request_id, arrived_at, record, fields)
 
     def left(self, request_id: str, arrived_at: float, record: RunRecord) -> None:
         """Log a caller that left."""
-        self._line("left", request_id, arrived_at, record, ())
+        self._count("caller-left", arrived_at, record)
+        self._line("left", request_id, arrived_at, record, {})
+
+    def _count(self, outcome: str, arrived_at: float, record: RunRecord) -> None:
+        kind = KIND_NONE
+        if record.route:
+            kind = KIND_GATHER if record.shards else KIND_SINGLE
+        self.stats.ended(outcome, kind, self.clock.now() - arrived_at)
+        self.stats.missing_parts += record.shards - record.parts
+        repeats = sum(record.repeats.values())
+        self.stats.sent(FIRST, record.sends - repeats)
+        for cause, count in record.repeats.items():
+            self.stats.sent(cause, count)
 
     def _line(
         self,
@@ -44,14 +73,23 @@
         request_id: str,
         arrived_at: float,
         record: RunRecord,
-        more: Iterable[tuple[str, object]],
+        more: Mapping[str, object],
     ) -> None:
+        now = self.clock.now()
+        if not self.rate.allows(now):
+            return
+        left_out = self.rate.take_left_out()
+        if left_out:
+            _LOGGER.warning(
+                "routed: lines left out", extra={"event": "lines-left-out", "count": left_out}
+            )
         fields: dict[str, object] = {
             "event": event,
             "id": request_id[:64],
             "route": record.route,
-            "ms": round((self.clock.now() - arrived_at) * MS_PER_S, 1),
+            "ms": round((now - arrived_at) * MS_PER_S, 1),
             "sends": record.sends,
+            **record.beliefs,
         }
         if record.shards:
             fields.update(end=record.end, parts=record.parts, shards=record.shards)
--- a/packages/daemon/src/spindle_daemon/components/routed/run_record.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/run_record.py
@@ -8,10 +8,14 @@
 
 
 class RunRecord:
-    """Sends by cause, the first failures, and how a gather ended."""
+    """Sends by cause, the first failures, and how a gather ended.
+
+    `beliefs` is what the decisions rested on: versions and ages.
+    """
 
     def __init__(self) -> None:
         self.route = ""
+        self.beliefs: dict[str, object] = {}
         self.sends = 0
         self.repeats: dict[str, int] = {}
         self.notes: list[str] = []
--- /dev/null
+++ b/tests/daemon/routed/common.py
@@ -0,0 +1,246 @@
+"""An entry instance in this process, scripted upstreams, and a caller that sends raw bytes."""
+
+import contextlib
+import random
+import socket
+from collections.abc import Callable, Iterator
+
+import gevent
+import gevent.socket
+from gevent.server import StreamServer
+
+from spindle_daemon.components.fleet.plan_taken import PlanTaken
+from spindle_daemon.components.fleet.upstreams_taken import UpstreamsTaken
+from spindle_daemon.components.routed.application import RoutedApplication
+from spindle_daemon.components.routed.coordinator import RoutedCoordinator
+from spindle_daemon.components.routed.request_log import RoutedLog
+from spindle_daemon.components.routed.routed_stats import RoutedStats
+from spindle_daemon.core.clock import SystemClock
+from spindle_daemon.core.dialect import Dialect, Paths
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.http_limits import HttpLimits
+from spindle_daemon.helpers.http_limits_handler import LimitsHandler
+from spindle_daemon.helpers.http_server import create_http_server
+from spindle_daemon.settings.endpoint import Endpoint
+from spindle_daemon.settings.instance_settings import InstanceSettings
+from spindle_daemon.settings.mesh_settings import MeshSettings
+from spindle_daemon.settings.routed_settings import RoutedSettings
+from spindle_daemon.settings.serving_settings import ServingSettings
+from spindle_daemon.settings.settings import Settings
+from spindle_decisions.fleet.list_keeper import ListKeeper
+from spindle_decisions.routing.listed_upstream import ListedUpstream
+from spindle_decisions.routing.plan import RoutingPlan
+from spindle_decisions.routing.route import Route
+from spindle_decisions.routing.routed_service import RoutedService
+from spindle_decisions.routing.upstream_list import create_upstream_list
+from spindle_platform.dialect import HEADERS
+from tests.decisions.routing.common import HERE, HOST, gather_route, single_route
+
+TIMEOUT_S = 5.0
+SERVING = ServingSettings("tier", True, True, True, True, True, True, True)
+LIMITS = HttpLimits(262_144, 50, 2.0, 2.0, 5.0)
+ID = HEADERS.request_id
+Script = Callable[["Request"], bytes]
+
+
+class Request:
+    """One request as an upstream read it."""
+
+    def __init__(self, raw: bytes, number: int, sock: socket.socket) -> None:
+        self.raw = raw
+        self.number = number
+        self.sock = sock
+        head, _, self.body = raw.partition(b"\r\n\r\n")
+        self.line, *lines = head.decode("latin-1").split("\r\n")
+        self.headers = {
+            name.lower(): value for name, _, value in (line.partition(": ") for line in lines)
+        }
+
+    def answer(self, body: bytes = b"x", status: str = "200 OK", **headers: str) -> bytes:
+        """Return a good answer to this request, with further headers."""
+        lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}"]
+        if ID in self.headers:
+            lines.append(f"{ID}: {self.headers[ID]}")
+        lines.append(f"{HEADERS.signature}: stamp-{self.headers.get(HEADERS.expect_upstream)}")
+        lines.extend(f"{name.replace('_', '-')}: {value}" for name, value in headers.items())
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def not_run(self) -> bytes:
+        """Return the answer of an upstream that did not run the request."""
+        return self.answer(b"", "503 Service Unavailable", **{HEADERS.not_run: "1"})
+
+
+class ScriptedUpstream:
+    """Answers each request with what its script returns; an empty answer is none.
+
+    `closes` makes it close each connection after an answer.
+    """
+
+    def __init__(self, name: str, service: str, script: Script, closes: bool = False) -> None:
+        self.name = name
+        self.service = service
+        self.script = script
+        self.closes = closes
+        self.requests: list[Request] = []
+        self.connections = 0
+        self.cancelled = 0
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+
+    def listed(self, data_center: str = HERE) -> ListedUpstream:
+        """Return its place in the list."""
+        port = self.server.server_port
+        return ListedUpstream(self.name, self.service, "127.0.0.1", port, data_center, 2)
+
+    def serve(self, sock: socket.socket, _address: object) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        data = b""
+        while True:
+            while not _whole(data):
+                try:
+                    received = sock.recv(65_536)
+                except ConnectionResetError:
+                    return
+                if not received:
+                    return
+                data += received
+            request = Request(data, len(self.requests), sock)
+            data = b""
+            self.requests.append(request)
+            try:
+                answer = self.script(request)
+                if answer:
+                    sock.sendall(answer)
+            except OSError:
+                self.cancelled += 1
+                return
+            if self.closes or not answer:
+                return
+
+
+class FixedDesk:
+    """A fleet that is always in touch."""
+
+    def __init__(self) -> None:
+        self.keeper = ListKeeper()
+
+    def settled(self) -> bool:
+        """The plan is sure."""
+        return True
+
+    def quorum_age_s(self) -> float:
+        """A quorum was heard just now."""
+        return 0.0
+
+
+class Tier:
+    """An entry instance over a plan and scripted upstreams."""
+
+    def __init__(self, routes: tuple[Route, ...], upstreams: tuple[ScriptedUpstream, ...]) -> None:
+        self.upstreams = upstreams
+        self.spindle = Spindle(_settings(), SystemClock(), random.Random(1), 1)
+        routed = self.spindle.settings.routed
+        assert routed is not None
+        dialect = Dialect(HEADERS, Paths("GET /r", "POST /p", "GET /p"), None, None)  # type: ignore[arg-type]
+        self.coordinator = RoutedCoordinator(self.spindle, routed, dialect, FixedDesk())  # type: ignore[arg-type]
+        names = {item.service for item in upstreams}
+        services = tuple(RoutedService(name, 20) for name in names)
+        self.spindle.bus.fire(PlanTaken(RoutingPlan(1, routes, services)))
+        self.list_upstreams(*(item.listed() for item in upstreams))
+        self.stats = RoutedStats()
+        log = RoutedLog(self.spindle.clock, self.stats)
+        application = RoutedApplication(self.spindle, self.coordinator, HEADERS, log)
+        self.server = create_http_server(Endpoint("127.0.0.1", 0), application, LimitsHandler)
+        self.server.limits = LIMITS
+        self.server.start()
+
+    def list_upstreams(self, *upstreams: ListedUpstream) -> None:
+        """Take a list of upstreams."""
+        self.spindle.bus.fire(UpstreamsTaken(create_upstream_list(upstreams), 1))
+
+    def connect(self) -> gevent.socket.socket:
+        """Return a connection of a caller."""
+        sock = gevent.socket.create_connection(("127.0.0.1", self.server.server_port))
+        sock.settimeout(TIMEOUT_S)
+        return sock
+
+    def ask(self, target: str, method: str = "GET", body: bytes = b"", **headers: str) -> "Answer":
+        """Send one request on a new connection and read the answer."""
+        with contextlib.closing(self.connect()) as sock:
+            sock.sendall(request_bytes(target, method, body, **headers))
+            return read_answer(sock)
+
+    def stop(self) -> None:
+        """Stop everything."""
+        self.server.stop()
+        for upstream in self.upstreams:
+            upstream.server.stop()
+
+
+class Answer:
+    """An answer as the caller read it; `complete` says whether all of it came."""
+
+    def __init__(self, raw: bytes, complete: bool) -> None:
+        self.complete = complete
+        head, _, self.body = raw.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        self.status = int(lines[0].split()[1]) if lines[0] else 0
+        self.headers = {
+            name.lower(): value for name, _, value in (line.partition(": ") for line in lines[1:])
+        }
+
+
+def request_bytes(target: str, method: str = "GET", body: bytes = b"", **headers: str) -> bytes:
+    """Return a request of a caller."""
+    fields = {"Host": HOST, ID: "id-1", HEADERS.deadline_ms: "2000"}
+    if body:
+        fields["Content-Length"] = str(len(body))
+    fields.update({name.replace("_", "-"): value for name, value in headers.items()})
+    lines = [f"{method} {target} HTTP/1.1", *(f"{key}: {value}" for key, value in fields.items())]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def read_answer(sock: gevent.socket.socket) -> Answer:
+    """Read one answer with a length."""
+    data = b""
+    while not _whole(data):
+        received = sock.recv(65_536)
+        if not received:
+            return Answer(data, complete=False)
+        data += received
+    return Answer(data, complete=True)
+
+
+def _whole(data: bytes) -> bool:
+    head, separator, body = data.partition(b"\r\n\r\n")
+    if not separator:
+        return False
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.strip().lower() == b"content-length":
+            return len(body) >= int(value)
+    return True
+
+
+@contextlib.contextmanager
+def tier(*upstreams: ScriptedUpstream, routes: tuple[Route, ...] = ()) -> Iterator[Tier]:
+    """Run an entry instance with a lookup and a gather route."""
+    made = Tier(routes or (single_route(), gather_route(2, 0.5)), upstreams)
+    try:
+        yield made
+    finally:
+        made.stop()
+
+
+def _settings() -> Settings:
+    return Settings(
+        instance=InstanceSettings("entry-1", HERE, "entry", None, None, "info"),  # type: ignore[arg-type]
+        mesh=MeshSettings("tcp://127.0.0.1:1", "tcp://127.0.0.1:1"),
+        admin=Endpoint("127.0.0.1", 1),
+        controls=(),
+        serving=SERVING,
+        entry=None,
+        control=None,
+        routed=RoutedSettings(Endpoint("127.0.0.1", 1), None, 6_000, 0.2, 10_000, 50),
+    )
