--- a/bench/ports.py
+++ b/bench/ports.py
@@ -1,11 +1,14 @@
 """Free ports on loopback."""
 
+import os
 import random
 import socket
 
 LOOPBACK = "127.0.0.1"
 LOWEST_PORT = 10_000
 HIGHEST_PORT = 32_000
+# Set to `1/4` for the second quarter of the ports, where test modules run side by side.
+SLICE_VARIABLE = "SPINDLE_PORT_SLICE"
 
 _GIVEN: set[int] = set()
 
@@ -17,8 +20,9 @@
     outgoing connections, so that no connection can take one before it is used.
     """
     ports: list[int] = []
+    lowest, highest = _port_range(os.environ.get(SLICE_VARIABLE, "0/1"))
     while len(ports) < count:
-        port = random.randrange(LOWEST_PORT, HIGHEST_PORT)
+        port = random.randrange(lowest, highest)
         if port in _GIVEN or not _is_free(port):
             continue
         _GIVEN.add(port)
@@ -26,6 +30,13 @@
     return ports
 
 
+def _port_range(text: str) -> tuple[int, int]:
+    number, _, count = text.partition("/")
+    width = (HIGHEST_PORT - LOWEST_PORT) // int(count)
+    lowest = LOWEST_PORT + int(number) * width
+    return lowest, lowest + width
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/bench/run_tests.py
+++ b/bench/run_tests.py
@@ -1,14 +1,23 @@
-"""Runs every test, passes over the known red ones and prints them."""
+"""Runs every test module, some side by side, passes over the known red tests and prints them."""
 
+import json
+import os
 import pathlib
+import subprocess
 import sys
+import tempfile
+import time
+from collections.abc import Iterator
 
-import nose2
-
-from bench.outcomes_plugin import OutcomesPlugin
+from gevent.pool import Pool
+from gevent.subprocess import Popen
 
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 FIELD_SEPARATOR = "|"
+TESTS = pathlib.Path("tests")
+# Modules that mostly wait for real processes; they start first.
+WAITING = "integration"
+WORKERS = 4
 
 
 def read_known_red(path: pathlib.Path) -> frozenset[str]:
@@ -17,11 +26,67 @@
     return frozenset(row.split(FIELD_SEPARATOR)[0].strip() for row in rows)
 
 
+def test_modules() -> list[str]:
+    """Return the names of all test modules, those that wait most first."""
+    names = [".".join(path.with_suffix("").parts) for path in sorted(TESTS.rglob("test_*.py"))]
+    return sorted(names, key=lambda name: (WAITING not in name, name))
+
+
+class ModuleRun:
+    """One module in a process of its own."""
+
+    def __init__(self, name: str, folder: pathlib.Path) -> None:
+        self.name = name
+        self.results = folder / f"{name}.json"
+        self.output = folder / f"{name}.txt"
+        self.ran: set[str] = set()
+        self.failed: set[str] = set()
+
+    def run(self, slot: int) -> None:
+        """Run the module and read its outcomes; one that ends without any has failed."""
+        started = time.monotonic()
+        environment = {**os.environ, "SPINDLE_PORT_SLICE": f"{slot}/{WORKERS}"}
+        command = [sys.executable, "-m", "bench.run_module", self.name, str(self.results)]
+        with self.output.open("wb") as output:
+            process = Popen(command, env=environment, stdout=output, stderr=subprocess.STDOUT)
+            process.wait()
+        if self.results.exists():
+            outcomes = json.loads(self.results.read_text())
+            self.ran, self.failed = set(outcomes["ran"]), set(outcomes["failed"])
+        else:
+            self.failed = {self.name}
+        took_s = time.monotonic() - started
+        print(f"{took_s:6.1f} s  {len(self.ran):4} tests  {self.name}", flush=True)
+        if self.failed:
+            print(self.output.read_text(errors="replace"), flush=True)
+
+
+def run_all(folder: pathlib.Path) -> Iterator[ModuleRun]:
+    """Run all modules, `WORKERS` at a time."""
+    free = list(range(WORKERS))
+    runs = [ModuleRun(name, folder) for name in test_modules()]
+    pool = Pool(WORKERS)
+
+    def work(run: ModuleRun) -> ModuleRun:
+        slot = free.pop()
+        try:
+            run.run(slot)
+        finally:
+            free.append(slot)
+        return run
+
+    yield from pool.imap_unordered(work, runs)
+
+
 def main() -> int:
     """Run the tests; return 0 when every failure is a known red test."""
     known = read_known_red(KNOWN_RED)
-    nose2.discover(argv=["nose2"], plugins=["bench.outcomes_plugin"], exit=False)
-    ran, failed = OutcomesPlugin.ran, OutcomesPlugin.failed
+    ran: set[str] = set()
+    failed: set[str] = set()
+    with tempfile.TemporaryDirectory() as folder:
+        for run in run_all(pathlib.Path(folder)):
+            ran |= run.ran
+            failed |= run.failed
     new = sorted(failed - known)
     for test_id in sorted(failed & known):
         print(f"known red: {test_id}")
--- a/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
+++ b/packages/daemon/src/spindle_daemon/components/control/raft_driver.py
@@ -102,7 +102,8 @@
             for listener in self.on_caught_up:
                 listener()
         for event in ready.events:
-            _LOGGER.info("raft: %s: %s", event.kind, event.reason)
+            fields = {"event": event.kind.value, "peer": event.peer, "term": event.term}
+            _LOGGER.info("raft: %s: %s", event.kind, event.reason, extra=fields)
             self.timeline.add(EventKind(event.kind.value), event.reason, peer=event.peer)
         self._maybe_snapshot()
 
--- a/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
@@ -27,6 +27,7 @@
 from spindle_decisions.fleet.fleet_table import FleetTable
 from spindle_decisions.fleet.list_keeper import ListKeeper
 from spindle_decisions.fleet.news_targets import choose_targets
+from spindle_decisions.routing.const import QUORUM_LOST_S
 from spindle_decisions.routing.plan import EMPTY_PLAN
 from spindle_decisions.util.units import MS_PER_S
 from spindle_decisions.wire.control_beat import ControlBeat
@@ -56,6 +57,7 @@
         self.sure_at = -math.inf
         self.was_sure = False
         self.quorum_at = spindle.clock.now()
+        self.hears_quorum = True
         self.instances = 1
         self.asked_at: dict[str, float] = {}
         self.answered_at: dict[str, float] = {}
@@ -111,6 +113,7 @@
 
     def _beat(self) -> None:
         now = self.spindle.clock.now()
+        self._note_quorum()
         targets = self._targets()
         for address in targets:
             self._redial(now, address)
@@ -120,6 +123,15 @@
         for gone in self.table.expire(now):
             self.spindle.transport.forget(gone.address)
 
+    def _note_quorum(self) -> None:
+        age_s = self.quorum_age_s()
+        heard = age_s <= QUORUM_LOST_S
+        if heard == self.hears_quorum:
+            return
+        self.hears_quorum = heard
+        event = "quorum-regained" if heard else "quorum-lost"
+        _LOGGER.warning("fleet: %s", event, extra={"event": event, "age": round(age_s, 1)})
+
     def _message(self, primary: bool, leaving: bool = False) -> EntryBeat:
         return EntryBeat(self.me, primary, self.plan.version, self.keeper.held.digest, leaving)
 
--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -38,6 +38,7 @@
         self.spindle = spindle
         self.desk = desk
         self.table = RouteTable(EMPTY_PLAN)
+        self.was_cut_off = False
         bounds = BudgetBounds(
             routed.budget_ratio, routed.budget_window_ms / MS_PER_S, routed.budget_burst
         )
@@ -58,9 +59,21 @@
         and cannot serve a route for that reason. While it can serve, it goes on.
         """
         now = self.spindle.clock.now()
-        if self.desk.quorum_age_s() < QUORUM_LOST_S and not self.book.replicas.cut_off(now):
-            return False
-        return self.book.lacks_service(self.table.plan.routes, now)
+        cut = self.desk.quorum_age_s() >= QUORUM_LOST_S or self.book.replicas.cut_off(now)
+        cut = cut and self.book.lacks_service(self.table.plan.routes, now)
+        if cut != self.was_cut_off:
+            self.was_cut_off = cut
+            self._note_cut_off(now)
+        return cut
+
+    def _note_cut_off(self, now: float) -> None:
+        event = "cut-off" if self.was_cut_off else "back-in-reach"
+        fields = {
+            "event": event,
+            "quorum_age": round(self.desk.quorum_age_s(), 1),
+            "dark": self.book.replicas.watch.dark(now),
+        }
+        _LOGGER.warning("routed: %s", event, extra=fields)
 
     def serve(
         self, request: RoutedRequest, caller: Caller, record: RunRecord
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/ejection_log.py
@@ -0,0 +1,42 @@
+"""The log lines of upstreams that are left out and come back."""
+
+import logging
+
+from spindle_daemon.components.routed.line_rate import LineRate
+from spindle_decisions.routing.replica import Replica
+
+_LOGGER = logging.getLogger(__name__)
+
+LINES_PER_S = 20.0
+
+
+class EjectionLog:
+    """Writes a line when an upstream is left out, and one when it answers again."""
+
+    def __init__(self) -> None:
+        self.out: set[str] = set()
+        self.rate = LineRate(LINES_PER_S)
+
+    def note(self, replica: Replica, reason: str, now: float) -> None:
+        """Compare what is believed of an upstream with what was last written."""
+        ejected = replica.ejected(now)
+        upstream_id = replica.upstream_id
+        if ejected and upstream_id not in self.out:
+            self.out.add(upstream_id)
+            self._line("upstream-out", replica, now, reason)
+        elif not ejected and replica.failures_in_row == 0 and upstream_id in self.out:
+            self.out.discard(upstream_id)
+            self._line("upstream-back", replica, now, reason)
+
+    def _line(self, event: str, replica: Replica, now: float, reason: str) -> None:
+        if not self.rate.allows(now):
+            return
+        fields = {
+            "event": event,
+            "upstream": replica.upstream_id,
+            "service": replica.listed.service,
+            "reason": reason[:160],
+            "for_s": round(max(0.0, replica.ejected_until - now), 2),
+            "left_out": self.rate.take_left_out(),
+        }
+        _LOGGER.info("routed: %s", event, extra=fields)
--- a/packages/daemon/src/spindle_daemon/components/routed/send_result.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/send_result.py
@@ -11,7 +11,8 @@
 class SendResult:
     """The answer and its meaning, or why there is none.
 
-    `unsent` means that no byte of the request left this instance.
+    `unsent` means that no byte of the request left this instance, `late` that time
+    was over before an answer came.
     """
 
     send: PartSend
@@ -19,3 +20,4 @@
     meaning: ReplyMeaning | None
     unsent: bool
     reason: str
+    late: bool = False
--- a/packages/daemon/src/spindle_daemon/components/routed/sender.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/sender.py
@@ -3,6 +3,7 @@
 import gevent
 
 from spindle_daemon.components.routed import const
+from spindle_daemon.components.routed.ejection_log import EjectionLog
 from spindle_daemon.components.routed.link_pool import LinkPool
 from spindle_daemon.components.routed.raw_reply import RawReply
 from spindle_daemon.components.routed.reply_judge import ReplyMeaning, judge_reply, reported_load
@@ -25,6 +26,7 @@
         self.replicas = replicas
         self.names = names
         self.pools: dict[str, LinkPool] = {}
+        self.watch = EjectionLog()
 
     def send(
         self,
@@ -41,7 +43,9 @@
         started = self.clock.now()
         replica.sent(send.token, started)
         try:
-            return self._exchange(send, text, method, request_id, end_at, usual, repeatable)
+            result = self._exchange(send, text, method, request_id, end_at, usual, repeatable)
+            self.watch.note(replica, result.reason, self.clock.now())
+            return result
         except gevent.GreenletExit:
             now = self.clock.now()
             self.replicas.silent(replica, now, now - started, usual.seconds)
@@ -75,7 +79,7 @@
                 raise
             now = self.clock.now()
             self.replicas.silent(replica, now, now - started, usual.seconds)
-            return SendResult(send, None, None, False, "no answer in time")
+            return SendResult(send, None, None, False, "no answer in time", late=True)
         return self._judged(send, reply, request_id, started, usual)
 
     def _judged(
--- a/packages/daemon/src/spindle_daemon/components/routed/single_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/single_runner.py
@@ -29,6 +29,7 @@
         self.single = Single(route, book, now, time_left_s(crew.request, route, now))
         self.good: RawReply | None = None
         self.failure: RawReply | None = None
+        self.late = False
 
     def run(self) -> RoutedAnswer | None:
         """Return the answer, `None` if the caller left; raises `RefusalError`."""
@@ -58,6 +59,7 @@
             self.good = result.reply
             return
         self.crew.record.failed(result)
+        self.late = self.late or result.late
         if result.unsent:
             self._send(self.single.unsent(token, now))
         elif result.meaning in (ReplyMeaning.NOT_RUN, ReplyMeaning.MISPLACED):
@@ -72,7 +74,7 @@
         if reply is not None:
             headers = answer_headers(reply.headers)
             return RoutedAnswer(reply.status, reply.reason, headers, reply.body)
-        if self.single.out:
+        if self.single.out or self.late:
             raise DeadlineExceededError("no answer in time")
         if self.single.ran:
             raise OutcomeUnknownError("the upstream's answer was lost")
--- a/packages/decisions/src/spindle_decisions/routing/data_center_watch.py
+++ b/packages/decisions/src/spindle_decisions/routing/data_center_watch.py
@@ -31,6 +31,10 @@
         """Return whether there are data centres and none can be reached."""
         return bool(data_centers) and all(self.is_dark(name, now) for name in data_centers)
 
+    def dark(self, now: float) -> list[str]:
+        """Return the data centres that are to be left alone."""
+        return sorted(name for name in self.dark_until if self.is_dark(name, now))
+
     def is_dark(self, data_center: str, now: float) -> bool:
         """Return whether the data centre is to be left alone."""
         return now < self.dark_until.get(data_center, 0.0)
