--- a/bench/process.py
+++ b/bench/process.py
@@ -10,17 +10,29 @@
 class Process:
     """Starts a module of the tree as a process and signals it by its id."""
 
-    def __init__(self, name: str, module: str, arguments: list[str], log: pathlib.Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        module: str,
+        arguments: list[str],
+        log: pathlib.Path,
+        environment: dict[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.command = [sys.executable, "-m", module, *arguments]
         self.log = log
+        self.environment = {**os.environ, **(environment or {})}
         self.child: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         """Start the process; its output goes to the log file."""
         with self.log.open("ab") as output:
             self.child = subprocess.Popen(
-                self.command, stdout=output, stderr=output, stdin=subprocess.DEVNULL
+                self.command,
+                stdout=output,
+                stderr=output,
+                stdin=subprocess.DEVNULL,
+                env=self.environment,
             )
 
     @property
--- /dev/null
+++ b/tests/integration/test_fleet.py
@@ -0,0 +1,114 @@
+"""The whole path of a fleet over real processes."""
+
+import shutil
+import signal
+
+from tests.integration.fleet_case import FleetCase, document
+
+CONTROLS = ("core-1", "core-2", "core-3")
+
+
+class TestFleet(FleetCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.start(*CONTROLS)
+        self.until("the first plan", lambda: self.replace("core-1", document(4)) == 200)
+
+    def in_force(self, name: str, version: int) -> bool:
+        return any(row["version"] == version for row in self.events(name, "plan"))
+
+    def leader(self) -> str:
+        def newest() -> str:
+            rows = [
+                (row["term"], name)
+                for name in CONTROLS
+                for row in self.events(name, "leader-elected")
+                if row["peer"] == name
+            ]
+            return max(rows)[1] if rows else ""
+
+        return self.until("a leader", newest)
+
+    def test_a_request_finds_its_way(self) -> None:
+        self.start("front-1")
+        self.until("ready", lambda: self.is_ready("front-1"))
+        answer = self.ask("front-1", "/a/%41?b=c")
+        self.assertEqual((answer.status, answer.body), (200, b"GET /a/%41?b=c HTTP/1.1"))
+        self.assertEqual(self.ask("front-1", "/nowhere/").status, 404)
+
+    def test_plans_are_acknowledged_once_and_read_back_as_sent(self) -> None:
+        newer = document(9, "/b/")
+        cases = (
+            ("newer", newer, 200),
+            ("the same again", newer, 200),
+            ("older", document(5), 200),
+            ("other content under the same number", document(9, "/c/"), 200),
+            ("invalid", document(12, "/no-slash"), 400),
+            ("cut short", document(13)[:-5], 400),
+        )
+        for name, sent, status in cases:
+            self.assertEqual(self.replace("core-2", sent), status, name)
+        for control in CONTROLS:
+            self.assertEqual(self.read(control), (200, newer), control)
+
+    def test_a_plan_survives_the_leader_and_everything(self) -> None:
+        self.start("front-1")
+        self.until("plan 4", lambda: self.in_force("front-1", 4))
+        lost = self.leader()
+        others = [name for name in CONTROLS if name != lost]
+        self.processes[lost].kill()
+        self.until("plan 6", lambda: self.replace(others[0], document(6, "/b/")) == 200)
+        self.until("plan 6 at the entry", lambda: self.in_force("front-1", 6))
+        for process in self.processes.values():
+            process.kill()
+        self.start(*CONTROLS, "front-1", founding=False)
+        self.until("ready", lambda: self.is_ready("front-1"))
+        self.assertEqual(self.ask("front-1", "/b/1").status, 200)
+        self.assertEqual(self.ask("front-1", "/a/1").status, 404)
+        self.assertEqual(self.read(lost), (200, document(6, "/b/")))
+        versions = [row["version"] for row in self.events("front-1", "plan")]
+        self.assertEqual(versions[-1], 6)
+
+    def test_an_emptied_and_a_new_instance_are_taken_in(self) -> None:
+        lost = next(name for name in CONTROLS if name != self.leader())
+        self.processes[lost].kill()
+        shutil.rmtree(self.folder / lost)
+        self.start(lost, "core-4", founding=False)
+        for name in (lost, "core-4"):
+            self.until(f"plan at {name}", lambda name=name: self.read(name) == (200, document(4)))
+
+    def test_without_a_majority_nothing_is_said_to_be_sure(self) -> None:
+        self.start("front-1")
+        self.until("ready", lambda: self.is_ready("front-1"))
+        for name in CONTROLS[1:]:
+            self.processes[name].kill()
+        self.assertNotEqual(self.replace("core-1", document(7)), 200)
+        self.assertNotEqual(self.read("core-1")[0], 200)
+        self.assertEqual(self.ask("front-1").status, 200)
+
+    def test_changed_settings_end_nothing(self) -> None:
+        self.start("front-1")
+        self.until("ready", lambda: self.is_ready("front-1"))
+        for name in ("front-1", "core-1"):
+            self.write_settings(name, False, (3, 2))
+            self.processes[name].send_signal(signal.SIGHUP)
+            self.until("a reload", lambda name=name: self.events(name, "reload"))
+        (self.folder / "front-1.ini").write_text("nonsense")
+        self.until("a warning", lambda: self.events("front-1", "bad-settings"))
+        self.assertEqual(self.ask("front-1").status, 200)
+
+    def test_a_planned_stop_cuts_nothing(self) -> None:
+        self.start("front-1")
+        self.until("ready", lambda: self.is_ready("front-1"))
+        self.processes["front-1"].terminate()
+        self.until("unready", lambda: not self.is_ready("front-1"))
+        statuses = []
+        while self.processes["front-1"].running:
+            answer = self.ask("front-1")
+            statuses.append(answer.status)
+            if answer.status:
+                self.assertTrue(answer.complete)
+                self.assertEqual(answer.headers.get("connection"), "close")
+        self.assertIn(200, statuses)
+        self.assertLessEqual(set(statuses), {200, 503, 0})
+        self.assertEqual(self.processes["front-1"].wait(1.0), 0)
--- /dev/null
+++ b/tests/platform/template.py
@@ -0,0 +1,33 @@
+"""A small renderer of settings templates, enough for the one in the tree."""
+
+import pathlib
+import re
+from typing import Any
+
+TEMPLATE = pathlib.Path("platform/settings.ini")
+_SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+_VALUE = re.compile(r"\{\{([\w.]+)\}\}")
+
+
+def render(fields: dict[str, Any]) -> str:
+    """Return the settings file that the platform would write from its fields."""
+    text = TEMPLATE.read_text()
+    text = _SECTION.sub(lambda found: found[2] if _lookup(fields, found[1]) else "", text)
+    return _VALUE.sub(lambda found: _shown(_lookup(fields, found[1])), text)
+
+
+def _lookup(fields: Any, path: str) -> Any:
+    for part in path.split("."):
+        if isinstance(fields, list):
+            fields = fields[int(part)] if int(part) < len(fields) else None
+        else:
+            fields = (fields or {}).get(part)
+    return fields
+
+
+def _shown(value: Any) -> str:
+    if value is None:
+        return ""
+    if isinstance(value, bool):
+        return str(value).lower()
+    return ",".join(map(str, value)) if isinstance(value, list) else str(value)
