Be careful until the number of sharers is known; a clock that jumped back hides no restart

Cause: right after a start an instance counted itself alone, so that after a crash of all each would have taken every connection and the whole fixed budget.

--- a/packages/daemon/src/spindle_daemon/components/routed/application.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/application.py
@@ -17,7 +17,7 @@
 from spindle_daemon.helpers.http_limits_handler import ENVIRON_HANDLER, LimitsHandler
 from spindle_daemon.helpers.json_response import json_error
 from spindle_daemon.helpers.socket_caller import SocketCaller
-from spindle_decisions.exceptions import LeavingError, SpindleError
+from spindle_decisions.exceptions import LeavingError, NoPlanError, SpindleError
 from spindle_decisions.util.units import MS_PER_S
 
 _LOGGER = logging.getLogger(__name__)
@@ -109,7 +109,10 @@
         response = json_error(err, request_id)
         headers = [("Content-Type", response.content_type), *response.headers]
         if err.http_status == STATUS_NOT_RUN:
-            headers.append((self.names.retry_after, f"{const.COME_BACK_S:.2f}"))
+            wait_s = const.COME_BACK_S
+            if isinstance(err, NoPlanError):
+                wait_s = const.COME_BACK_START_S
+            headers.append((self.names.retry_after, f"{wait_s:.2f}"))
         return RoutedAnswer(err.http_status, err.code, tuple(headers), response.body)
 
 
--- a/packages/daemon/src/spindle_daemon/components/routed/const.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/const.py
@@ -13,6 +13,8 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 # After how long a refused caller may come back.
 COME_BACK_S = 0.1
+# The same while this instance holds no plan, which takes about that long after a start.
+COME_BACK_START_S = 0.3
 # Without a deadline of the caller's, the time-out of the route alone counts.
 DEADLINE_NONE_S = 3_600.0
 USER_TIMEOUT_MS = 2_000
--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import gevent
+
 from spindle_daemon.components.fleet.entry_desk import EntryDesk
 from spindle_daemon.components.fleet.plan_taken import PlanTaken
 from spindle_daemon.components.fleet.upstreams_taken import UpstreamsTaken
@@ -18,7 +20,7 @@
 from spindle_daemon.settings.routed_settings import RoutedSettings
 from spindle_decisions.exceptions import NoPlanError, OverloadedError, UnknownRouteError
 from spindle_decisions.routing.budget_bounds import BudgetBounds
-from spindle_decisions.routing.const import QUORUM_LOST_S
+from spindle_decisions.routing.const import QUORUM_LOST_S, UNSURE_S
 from spindle_decisions.routing.plan import EMPTY_PLAN
 from spindle_decisions.routing.route_table import RouteTable
 from spindle_decisions.routing.serving_book import ServingBook
@@ -42,7 +44,9 @@
         bounds = BudgetBounds(
             routed.budget_ratio, routed.budget_window_ms / MS_PER_S, routed.budget_burst
         )
-        self.book = ServingBook(spindle.settings.instance.data_center, bounds, spindle.rng)
+        sure_at = spindle.clock.now() + UNSURE_S
+        self.book = ServingBook(spindle.settings.instance.data_center, bounds, spindle.rng, sure_at)
+        gevent.spawn_later(UNSURE_S, self._share)
         self.sender = Sender(spindle.clock, dialect.headers, self.book.replicas)
         spindle.bus.listen(PlanTaken, self._take_plan)
         spindle.bus.listen(UpstreamsTaken, self._take_upstreams)
@@ -117,5 +121,5 @@
 
     def _share(self) -> None:
         bounds = {item.name: item.max_connections for item in self.table.plan.services}
-        self.book.replicas.share_connections(bounds, self.book.instances)
+        self.book.share_connections(bounds, self.spindle.clock.now())
         self.sender.set_shares(self.book.replicas.replicas)
--- a/packages/decisions/src/spindle_decisions/fleet/fleet_table.py
+++ b/packages/decisions/src/spindle_decisions/fleet/fleet_table.py
@@ -9,7 +9,8 @@
 class FleetTable:
     """Every process by name, with the time at which anybody heard it last.
 
-    A later start of a process replaces an earlier one, whoever tells of it.
+    The newest word of a process wins, whoever tells of it. Incarnations do not order
+    starts, as they come from wall clocks, which may jump back between two of them.
     """
 
     def __init__(self) -> None:
@@ -18,11 +19,10 @@
 
     def heard(self, now: float, instance: FleetInstance) -> None:
         """Note that a process was heard at `now`."""
-        known = self.instances.get(instance.name)
-        if known is not None and known.incarnation > instance.incarnation:
+        if now < self.heard_at.get(instance.name, now):
             return
         self.instances[instance.name] = instance
-        self.heard_at[instance.name] = max(now, self.heard_at.get(instance.name, now))
+        self.heard_at[instance.name] = now
 
     def told(self, now: float, heard: HeardInstance) -> None:
         """Take in that another process heard a process some time ago."""
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -49,5 +49,9 @@
 BUDGET_RATIO_PART = 0.85
 BUDGET_BURST_PART = 0.7
 BUDGET_BUCKETS = 20
+# Right after a start nobody knows yet how many instances share: so many are assumed at
+# least, and nothing of the fixed part of the budget is taken, for so long.
+UNSURE_INSTANCES = 8
+UNSURE_S = 2.5
 # The part of the connections of an upstream that is shared out; the rest is for newcomers.
 CONNECTION_PART = 0.85
--- a/packages/decisions/src/spindle_decisions/routing/repeat_budget.py
+++ b/packages/decisions/src/spindle_decisions/routing/repeat_budget.py
@@ -26,11 +26,15 @@
         self._bucket(now)[1] += 1
         self.requests += 1
 
-    def take(self, now: float, instances: int) -> bool:
-        """Count a repeat if the budget allows it; return whether it does."""
+    def take(self, now: float, instances: int, fixed: bool = True) -> bool:
+        """Count a repeat if the budget allows it; return whether it does.
+
+        Without `fixed` only the part that follows the requests may be used.
+        """
         bucket = self._bucket(now)
-        fixed = self.bounds.burst * const.BUDGET_BURST_PART / max(1, instances)
-        most = self.bounds.ratio * const.BUDGET_RATIO_PART * self.requests + fixed
+        most = self.bounds.ratio * const.BUDGET_RATIO_PART * self.requests
+        if fixed:
+            most += self.bounds.burst * const.BUDGET_BURST_PART / max(1, instances)
         if self.repeats + 1 > most:
             return False
         bucket[2] += 1
--- a/packages/decisions/src/spindle_decisions/routing/serving_book.py
+++ b/packages/decisions/src/spindle_decisions/routing/serving_book.py
@@ -14,9 +14,15 @@
 
 
 class ServingBook:
-    """Upstreams, usual times and budgets; `instances` counts those that share a budget."""
+    """Upstreams, usual times and budgets; `instances` counts those that share a budget.
 
-    def __init__(self, data_center: str, bounds: BudgetBounds, rng: random.Random) -> None:
+    Until `sure_at` that count may be too low, as not all have been heard of yet.
+    """
+
+    def __init__(
+        self, data_center: str, bounds: BudgetBounds, rng: random.Random, sure_at: float = 0.0
+    ) -> None:
+        self.sure_at = sure_at
         self.bounds = bounds
         self.rng = rng
         self.replicas = ReplicaBook(data_center, rng)
@@ -44,7 +50,14 @@
 
     def take_repeat(self, service: str, now: float) -> bool:
         """Take one repeat from the budget of a service; return whether there was one."""
-        return self.budget(service).take(now, self.instances)
+        return self.budget(service).take(now, self.instances, fixed=now >= self.sure_at)
+
+    def share_connections(self, bounds: dict[str, int], now: float) -> None:
+        """Give each upstream the share of its connections that this instance may hold."""
+        instances = self.instances
+        if now < self.sure_at:
+            instances = max(instances, const.UNSURE_INSTANCES)
+        self.replicas.share_connections(bounds, instances)
 
     def servable(self, route: Route, now: float) -> bool:
         """Return whether enough of a route's services can be reached as far as is known."""
--- a/tests/decisions/routing/test_repeat_budget.py
+++ b/tests/decisions/routing/test_repeat_budget.py
@@ -7,6 +7,8 @@
 
 from spindle_decisions.routing.budget_bounds import BudgetBounds
 from spindle_decisions.routing.repeat_budget import RepeatBudget
+from spindle_decisions.routing.serving_book import ServingBook
+from tests.decisions.routing.common import HERE
 
 BOUNDS = BudgetBounds(ratio=0.2, window_s=10.0, burst=52)
 
@@ -50,3 +52,14 @@
         budget.give_back(0.0)
         self.assertTrue(budget.take(0.0, 1))
         self.assertFalse(budget.take(0.0, 1))
+
+    def test_right_after_a_start_only_the_ratio_may_be_used(self) -> None:
+        made = ServingBook(HERE, BOUNDS, random.Random(1), sure_at=5.0)
+        self.assertFalse(made.take_repeat("s0", 1.0))
+        for _ in range(20):
+            made.budget("s0").requested(1.0)
+        taken = 0
+        while made.take_repeat("s0", 1.0):
+            taken += 1
+        self.assertLessEqual(taken, BOUNDS.ratio * 20)
+        self.assertTrue(made.take_repeat("s0", 5.0))
