Leave shards to owners where connections are fewer than instances

Where 59 connections of an upstream meet 74 instances, each shard belongs to one entry instance of each data centre by rendezvous hashing. An instance asks the owners, which gather their shards, merge them and answer before the aim; the next owner is asked when one is silent. Not measured yet.

--- a/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
@@ -21,6 +21,7 @@
 from spindle_decisions.fleet.founding import Founding
 from spindle_decisions.fleet.list_keeper import ListKeeper
 from spindle_decisions.fleet.list_turn import read_after_s
+from spindle_decisions.fleet.peers import peers_digest
 from spindle_decisions.util.units import MS_PER_S
 from spindle_decisions.wire.control_beat import ControlBeat
 from spindle_decisions.wire.entry_beat import EntryBeat
@@ -159,6 +160,7 @@
             quorum_age_ms=int(quorum_age_s * MS_PER_S),
             list_digest=self.keeper.held.digest,
             list_age_ms=self._list_age_ms(now),
+            peers=self._peers(now, beat),
         )
         self.spindle.transport.send(address, reply)
         again = before is not None and before.plan_version == beat.plan_version
@@ -168,6 +170,14 @@
         if lacks and self._list_age_ms(now) < LIST_NEWS_S * MS_PER_S:
             self._push_list(address)
 
+    def _peers(self, now: float, beat: EntryBeat) -> tuple[FleetInstance, ...] | None:
+        peers = tuple(
+            item
+            for item in self.table.lately(now, const.ROLE_ENTRY, const.LIVE_S)
+            if item.data_center == beat.instance.data_center
+        )
+        return None if peers_digest(peers) == beat.peers_digest else peers
+
     def _on_list(self, _sender: str, push: ListPush) -> None:
         now = self.spindle.clock.now()
         try:
--- a/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
@@ -27,11 +27,13 @@
 from spindle_decisions.fleet.fleet_table import FleetTable
 from spindle_decisions.fleet.list_keeper import ListKeeper
 from spindle_decisions.fleet.news_targets import choose_targets
+from spindle_decisions.fleet.peers import peers_digest
 from spindle_decisions.routing.const import QUORUM_LOST_S
 from spindle_decisions.routing.plan import EMPTY_PLAN
 from spindle_decisions.util.units import MS_PER_S
 from spindle_decisions.wire.control_beat import ControlBeat
 from spindle_decisions.wire.entry_beat import EntryBeat
+from spindle_decisions.wire.fleet_instance import FleetInstance
 from spindle_decisions.wire.list_push import ListPush
 from spindle_decisions.wire.plan_push import PlanPush
 
@@ -59,6 +61,7 @@
         self.quorum_at = spindle.clock.now()
         self.hears_quorum = True
         self.instances = 1
+        self.peers: tuple[FleetInstance, ...] = ()
         self.asked_at: dict[str, float] = {}
         self.answered_at: dict[str, float] = {}
         self.patience_s = const.READ_ENTRY_S + spindle.rng.uniform(0.0, 1.0)
@@ -133,7 +136,9 @@
         _LOGGER.warning("fleet: %s", event, extra={"event": event, "age": round(age_s, 1)})
 
     def _message(self, primary: bool, leaving: bool = False) -> EntryBeat:
-        return EntryBeat(self.me, primary, self.plan.version, self.keeper.held.digest, leaving)
+        digest = self.keeper.held.digest
+        known = peers_digest(self.peers) if self.peers else ""
+        return EntryBeat(self.me, primary, self.plan.version, digest, leaving, known)
 
     def _targets(self) -> list[str]:
         now = self.spindle.clock.now()
@@ -153,6 +158,8 @@
                 self.answered_at[heard.instance.address] = now
                 self.asked_at.pop(heard.instance.address, None)
         self.quorum_at = max(self.quorum_at, now - beat.quorum_age_ms / MS_PER_S)
+        if beat.peers:
+            self.peers = beat.peers
         if beat.quorum_age_ms < PLAN_SURE_S * MS_PER_S:
             if beat.plan_version <= self.plan.version:
                 self.sure_at = now
--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -1,6 +1,7 @@
 """Serving routed requests."""
 
 import logging
+from collections.abc import Callable
 
 import gevent
 
@@ -8,12 +9,14 @@
 from spindle_daemon.components.fleet.plan_taken import PlanTaken
 from spindle_daemon.components.fleet.upstreams_taken import UpstreamsTaken
 from spindle_daemon.components.routed.gather_runner import GatherRunner
+from spindle_daemon.components.routed.owner_desk import OwnerDesk
 from spindle_daemon.components.routed.routed_answer import RoutedAnswer
 from spindle_daemon.components.routed.routed_request import RoutedRequest
 from spindle_daemon.components.routed.run_record import RunRecord
 from spindle_daemon.components.routed.send_crew import SendCrew
 from spindle_daemon.components.routed.sender import Sender
 from spindle_daemon.components.routed.single_runner import SingleRunner
+from spindle_daemon.components.routed.spread_runner import SpreadRunner
 from spindle_daemon.core.caller import Caller
 from spindle_daemon.core.dialect import Dialect
 from spindle_daemon.core.spindle import Spindle
@@ -48,6 +51,7 @@
         self.book = ServingBook(spindle.settings.instance.data_center, bounds, spindle.rng, sure_at)
         gevent.spawn_later(UNSURE_S, self._share)
         self.sender = Sender(spindle.clock, dialect.headers, self.book.replicas)
+        self.owners = OwnerDesk(spindle, self.sender, self.book)
         spindle.bus.listen(PlanTaken, self._take_plan)
         spindle.bus.listen(UpstreamsTaken, self._take_upstreams)
 
@@ -92,14 +96,13 @@
         record.beliefs = self._beliefs()
         if not self.book.admit(route, self.spindle.clock.now()):
             raise OverloadedError("too few upstreams can be reached")
+        if route.shards and self.book.crowded and len(self.desk.peers) > 1:
+            spread = SpreadRunner(self.owners, self.desk.peers, route, request, record)
+            return watched(spread.run, caller, spread.caller_left)
         crew = SendCrew(self.spindle.clock, self.sender, request, record)
         runner_type = GatherRunner if route.shards else SingleRunner
         runner = runner_type(crew, self.book, route)
-        caller.watch(crew.caller_left)
-        try:
-            return runner.run()
-        finally:
-            caller.unwatch()
+        return watched(runner.run, caller, crew.caller_left)
 
     def _beliefs(self) -> dict[str, object]:
         now = self.spindle.clock.now()
@@ -112,6 +115,7 @@
 
     def _take_plan(self, event: PlanTaken) -> None:
         self.table = RouteTable(event.plan)
+        self.book.owned = frozenset(name for item in event.plan.routes for name in item.shards)
         self._share()
 
     def _take_upstreams(self, event: UpstreamsTaken) -> None:
@@ -123,3 +127,14 @@
         bounds = {item.name: item.max_connections for item in self.table.plan.services}
         self.book.share_connections(bounds, self.spindle.clock.now())
         self.sender.set_shares(self.book.replicas.replicas)
+
+
+def watched(
+    run: Callable[[], RoutedAnswer | None], caller: Caller, on_left: Callable[[], None]
+) -> RoutedAnswer | None:
+    """Run a request while its caller is watched."""
+    caller.watch(on_left)
+    try:
+        return run()
+    finally:
+        caller.unwatch()
--- a/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -1,5 +1,6 @@
 """Carrying out a gathered request."""
 
+from spindle_daemon.components.routed.gathered_answer import gathered_answer
 from spindle_daemon.components.routed.raw_reply import RawReply
 from spindle_daemon.components.routed.reply_judge import ReplyMeaning
 from spindle_daemon.components.routed.routed_answer import RoutedAnswer
@@ -11,20 +12,37 @@
 from spindle_decisions.routing.part_send import PartSend
 from spindle_decisions.routing.records import greatest_records
 from spindle_decisions.routing.route import Route
+from spindle_decisions.routing.send_cause import FIRST
 from spindle_decisions.routing.serving_book import ServingBook
+from spindle_decisions.routing.spread_part import SpreadPart
 
 
 class GatherRunner:
     """Carries out what a `Gather` decides and merges the parts."""
 
-    def __init__(self, crew: SendCrew, book: ServingBook, route: Route) -> None:
+    def __init__(
+        self, crew: SendCrew, book: ServingBook, route: Route, first_cause: str = FIRST
+    ) -> None:
         self.crew = crew
         self.route = route
         now = crew.clock.now()
-        self.gather = Gather(route, book, now, time_left_s(crew.request, route, now))
+        limit_s = time_left_s(crew.request, route, now)
+        self.gather = Gather(route, book, now, limit_s, first_cause)
 
     def run(self) -> RoutedAnswer | None:
         """Return the answer, `None` if the caller left; raises `RefusalError`."""
+        self._run()
+        return None if self.crew.left else self._answer()
+
+    def run_part(self) -> SpreadPart:
+        """Return what the shards of this route brought for another instance to merge."""
+        self._run()
+        names = self.crew.sender.names
+        parts = self._parts()
+        signatures = tuple(part.values[names.signature] for part in parts)
+        return SpreadPart(signatures, self._records(parts))
+
+    def _run(self) -> None:
         gather, clock = self.gather, self.crew.clock
         self._send(gather.start(clock.now()))
         while gather.end is None and not self.crew.left:
@@ -32,10 +50,8 @@
                 self._take(result)
             if gather.end is None:
                 self._send(gather.tick(clock.now()))
-        if self.crew.left:
-            return None
-        self.crew.linger()
-        return self._answer()
+        if not self.crew.left:
+            self.crew.linger()
 
     def _send(self, sends: list[PartSend]) -> None:
         for send in sends:
@@ -53,9 +69,8 @@
     def _answer(self) -> RoutedAnswer:
         end = self.gather.end
         assert end is not None
-        shards = self.gather.shards
-        parts = [shard.part for shard in shards if isinstance(shard.part, RawReply)]
-        self.crew.record.gathered(end.reason, len(parts), len(shards))
+        parts = self._parts()
+        self.crew.record.gathered(end.reason, len(parts), len(self.gather.shards))
         if end.answered:
             return self._merged(parts)
         if not self.crew.record.sends:
@@ -64,14 +79,16 @@
             raise DeadlineExceededError("too few shards answered in time")
         raise PartsFailedError("too few shards answered")
 
+    def _parts(self) -> list[RawReply]:
+        shards = self.gather.shards
+        return [shard.part for shard in shards if isinstance(shard.part, RawReply)]
+
+    def _records(self, parts: list[RawReply]) -> bytes:
+        return greatest_records([part.body for part in parts], self.route.top_records)
+
     def _merged(self, parts: list[RawReply]) -> RoutedAnswer:
         names = self.crew.sender.names
-        signatures = ", ".join(part.values[names.signature] for part in parts)
+        signatures = [part.values[names.signature] for part in parts]
         missing = len(self.gather.shards) - len(parts)
-        headers = (
-            (names.part_signatures, signatures),
-            (names.missing_parts, str(missing)),
-            (names.request_id, self.crew.request.request_id),
-        )
-        body = greatest_records([part.body for part in parts], self.route.top_records)
-        return RoutedAnswer(200, "OK", headers, body)
+        request_id = self.crew.request.request_id
+        return gathered_answer(names, request_id, signatures, missing, self._records(parts))
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/gathered_answer.py
@@ -0,0 +1,18 @@
+"""The answer to a gathered request."""
+
+from collections.abc import Iterable
+
+from spindle_daemon.components.routed.routed_answer import RoutedAnswer
+from spindle_daemon.core.dialect import HeaderNames
+
+
+def gathered_answer(
+    names: HeaderNames, request_id: str, signatures: Iterable[str], missing: int, records: bytes
+) -> RoutedAnswer:
+    """Return a success that names its parts and says how many shards are missing."""
+    headers = (
+        (names.part_signatures, ", ".join(signatures)),
+        (names.missing_parts, str(missing)),
+        (names.request_id, request_id),
+    )
+    return RoutedAnswer(200, "OK", headers, records)
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/components/routed/spread_runner.py
@@ -0,0 +1,130 @@
+"""Carrying out a gathered request through the owners of its shards."""
+
+from collections import deque
+
+from gevent.event import Event
+
+from spindle_daemon.components.routed.gathered_answer import gathered_answer
+from spindle_daemon.components.routed.owner_desk import OwnerDesk, ReplyListener
+from spindle_daemon.components.routed.routed_answer import RoutedAnswer
+from spindle_daemon.components.routed.routed_request import RoutedRequest
+from spindle_daemon.components.routed.run_record import RunRecord
+from spindle_daemon.components.routed.time_left import time_left_s
+from spindle_decisions.exceptions import DeadlineExceededError, PartsFailedError
+from spindle_decisions.routing.records import greatest_records
+from spindle_decisions.routing.route import Route
+from spindle_decisions.routing.spread import Spread
+from spindle_decisions.routing.spread_ask import SpreadAsk
+from spindle_decisions.routing.spread_part import SpreadPart
+from spindle_decisions.util.units import MS_PER_S
+from spindle_decisions.wire.fleet_instance import FleetInstance
+from spindle_decisions.wire.spread_question import SpreadQuestion
+from spindle_decisions.wire.spread_reply import SpreadReply
+
+
+class SpreadRunner:
+    """Asks owners as a `Spread` decides and merges what they bring."""
+
+    def __init__(
+        self,
+        desk: OwnerDesk,
+        peers: tuple[FleetInstance, ...],
+        route: Route,
+        request: RoutedRequest,
+        record: RunRecord,
+    ) -> None:
+        self.desk = desk
+        self.clock = desk.spindle.clock
+        self.route = route
+        self.request = request
+        self.record = record
+        now = self.clock.now()
+        limit_s = time_left_s(request, route, now)
+        self.spread = Spread(route, desk.usable(peers), now, limit_s)
+        self.replies: deque[tuple[int, SpreadReply]] = deque()
+        self.wake = Event()
+        self.left = False
+
+    def run(self) -> RoutedAnswer | None:
+        """Return the answer, `None` if the caller left; raises `RefusalError`."""
+        spread = self.spread
+        self._ask(spread.start())
+        while spread.end is None and not self.left:
+            self.wake.wait(max(0.0, spread.wake_at() - self.clock.now()))
+            self.wake.clear()
+            while self.replies:
+                self._take(*self.replies.popleft())
+            if spread.end is None:
+                self._ask(spread.tick(self.clock.now()))
+        if self.left:
+            return None
+        for ask in spread.out.values():
+            if ask.owner.name in spread.silent:
+                self.desk.note_silent(ask.owner.name)
+        return self._answer()
+
+    def caller_left(self) -> None:
+        """End the request; owners end by themselves at the aim."""
+        self.left = True
+        self.wake.set()
+
+    def _ask(self, asks: list[SpreadAsk]) -> None:
+        for ask in asks:
+            if ask.repeat:
+                self.record.repeats["owner"] = self.record.repeats.get("owner", 0) + 1
+            self.desk.ask(ask.owner, self._question(ask), self._listener(ask.token))
+
+    def _listener(self, token: int) -> ReplyListener:
+        def listener(reply: SpreadReply) -> None:
+            self.replies.append((token, reply))
+            self.wake.set()
+
+        return listener
+
+    def _take(self, token: int, reply: SpreadReply) -> None:
+        if token not in self.spread.out:
+            return
+        self.record.sends += reply.sends
+        part = SpreadPart(reply.signatures, reply.records)
+        self.spread.answer(token, part, self.clock.now())
+
+    def _question(self, ask: SpreadAsk) -> SpreadQuestion:
+        now = self.clock.now()
+        request = self.request
+        return SpreadQuestion(
+            seq=0,
+            reply_to=self.desk.spindle.settings.mesh.advertise,
+            shards=tuple(self.route.shards[at] for at in ask.places),
+            top_records=self.route.top_records,
+            route=self.route.name,
+            max_attempts=1 if ask.repeat else self.route.max_attempts,
+            aim_ms=self.route.aim_ms,
+            aim_left_ms=max(1, int((self.spread.aim_at - now) * MS_PER_S)),
+            left_ms=max(1, int((self.spread.end_at - now) * MS_PER_S)),
+            repeat=ask.repeat,
+            method=request.method,
+            target=request.target,
+            host=request.host,
+            headers=request.headers,
+            body=request.body,
+            has_body=request.has_body,
+            request_id=request.request_id,
+        )
+
+    def _answer(self) -> RoutedAnswer:
+        spread = self.spread
+        end = spread.end
+        assert end is not None
+        shards = len(self.route.shards)
+        self.record.gathered(end.reason, spread.answered, shards)
+        if end.answered:
+            signatures = [item for part in spread.parts for item in part.signatures]
+            records = greatest_records(
+                [part.records for part in spread.parts], self.route.top_records
+            )
+            names = self.desk.sender.names
+            missing = shards - spread.answered
+            return gathered_answer(names, self.request.request_id, signatures, missing, records)
+        if end.reason == "deadline":
+            raise DeadlineExceededError("too few shards answered in time")
+        raise PartsFailedError("too few shards answered")
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -55,3 +55,12 @@
 UNSURE_S = 2.5
 # The part of the connections of an upstream that is shared out; the rest is for newcomers.
 CONNECTION_PART = 0.85
+# Instances that would have less than this many connections to an upstream leave each
+# shard to owners.
+CROWDED_CONNECTIONS = 1.5
+# Owners of a shard in each data centre that are counted as sharers of its upstreams.
+OWNERS_EACH = 2
+# An owner without word is overtaken after this part of the aim.
+OWNER_PATIENCE_PART = 0.55
+# An owner that was silent is not asked for this long.
+OWNER_SILENT_S = 3.0
--- a/packages/decisions/src/spindle_decisions/routing/gather.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather.py
@@ -15,7 +15,8 @@
     A part that is missing costs the answer the square of its share, while an answer
     behind the aim is worth a small part of one within it. So the request ends, once
     the least share is in, at the aim at the latest; before it only when nothing more
-    can come. Example:
+    can come. Where another instance asked for these shards before, `first_cause` says
+    so and even the first sends are paid from the budget. Example:
 
         gather = Gather(route, book, now, limit_s)
         sends = gather.start(now)
@@ -23,7 +24,15 @@
         if gather.end is not None: ...
     """
 
-    def __init__(self, route: Route, book: ServingBook, now: float, limit_s: float) -> None:
+    def __init__(
+        self,
+        route: Route,
+        book: ServingBook,
+        now: float,
+        limit_s: float,
+        first_cause: str = send_cause.FIRST,
+    ) -> None:
+        self.first_cause = first_cause
         self.route = route
         self.book = book
         self.shards = [GatherShard(service) for service in route.shards]
@@ -33,7 +42,7 @@
         self.aim_at = now + max(0.0, aim_s - const.ANSWER_MARGIN_S)
         self.end_at = now + limit_s
         self.missing = len(self.shards)
-        self.may_miss = len(self.shards) - _least_parts(route)
+        self.may_miss = len(self.shards) - least_parts(route)
         self.lost = 0
         self.end: GatherEnd | None = None
         self.sends: dict[int, PartSend] = {}
@@ -42,8 +51,9 @@
         """Return the first send of each shard."""
         sends = []
         for at, shard in enumerate(self.shards):
-            self.book.budget(shard.service).requested(now)
-            sends.append(self._send(at, send_cause.FIRST, now))
+            if self.first_cause == send_cause.FIRST:
+                self.book.budget(shard.service).requested(now)
+            sends.append(self._send(at, self.first_cause, now))
         self._judge(now)
         return [send for send in sends if send is not None]
 
@@ -137,7 +147,10 @@
             self.end = GatherEnd("deadline", enough)
 
 
-def _least_parts(route: Route) -> int:
+def least_parts(route: Route) -> int:
+    """Return how many shards must have answered; a share of 0 needs none."""
+    if route.least_share <= 0:
+        return 0
     count = len(route.shards)
     for parts in range(1, count + 1):
         if parts / count >= route.least_share:
--- a/packages/decisions/src/spindle_decisions/routing/replica_book.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica_book.py
@@ -1,6 +1,7 @@
 """All upstreams that this instance knows, by service."""
 
 import random
+from collections.abc import Container
 
 from spindle_decisions.routing import const
 from spindle_decisions.routing.data_center_watch import DataCenterWatch
@@ -106,12 +107,17 @@
         factor = 1.0 if near else const.FAR_FACTOR
         return replica.expected_s(now, usual_s) * factor * self.rng.uniform(0.97, 1.03)
 
-    def share_connections(self, bounds: dict[str, int], instances: int) -> None:
+    def share_connections(
+        self, bounds: dict[str, int], instances: int, only: Container[str] | None = None
+    ) -> None:
         """Give each upstream the share of its connections that this instance may hold.
 
-        `bounds` has the connections of one upstream of a service for all instances.
+        `bounds` has the connections of one upstream of a service for all instances;
+        with `only` the upstreams of other services keep what they have.
         """
         for item in self.replicas.values():
+            if only is not None and item.listed.service not in only:
+                continue
             most = bounds.get(item.listed.service, instances) * const.CONNECTION_PART
             item.connection_share = max(1, int(most / max(1, instances)))
 
--- a/packages/decisions/src/spindle_decisions/routing/serving_book.py
+++ b/packages/decisions/src/spindle_decisions/routing/serving_book.py
@@ -16,7 +16,8 @@
 class ServingBook:
     """Upstreams, usual times and budgets; `instances` counts those that share a budget.
 
-    Until `sure_at` that count may be too low, as not all have been heard of yet.
+    Until `sure_at` that count may be too low, as not all have been heard of yet. The
+    services in `owned` are shards; where it is `crowded` they have owners.
     """
 
     def __init__(
@@ -29,6 +30,8 @@
         self.instances = 1
         self.usuals: dict[str, UsualTime] = {}
         self.budgets: dict[str, RepeatBudget] = {}
+        self.owned: frozenset[str] = frozenset()
+        self.crowded = False
         self.used_at: dict[str, float] = {}
         self.tried_at: dict[str, float] = {}
 
@@ -50,7 +53,15 @@
 
     def take_repeat(self, service: str, now: float) -> bool:
         """Take one repeat from the budget of a service; return whether there was one."""
-        return self.budget(service).take(now, self.instances, fixed=now >= self.sure_at)
+        sharers = self.instances
+        if self.crowded and service in self.owned:
+            sharers = self.owners()
+        return self.budget(service).take(now, sharers, fixed=now >= self.sure_at)
+
+    def owners(self) -> int:
+        """Return how many instances share the upstreams of a shard that has owners."""
+        places = {item.listed.data_center for item in self.replicas.replicas.values()}
+        return const.OWNERS_EACH * max(1, len(places))
 
     def share_connections(self, bounds: dict[str, int], now: float) -> None:
         """Give each upstream the share of its connections that this instance may hold."""
@@ -58,6 +69,11 @@
         if now < self.sure_at:
             instances = max(instances, const.UNSURE_INSTANCES)
         self.replicas.share_connections(bounds, instances)
+        least = min((bounds.get(name, instances) for name in self.owned), default=instances)
+        self.crowded = least < const.CROWDED_CONNECTIONS * self.instances
+        if self.crowded:
+            owned = {name: bound for name, bound in bounds.items() if name in self.owned}
+            self.replicas.share_connections(owned, self.owners(), only=owned.keys())
 
     def servable(self, route: Route, now: float) -> bool:
         """Return whether enough of a route's services can be reached as far as is known."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/spread_ask.py
@@ -0,0 +1,15 @@
+"""One question to an owner."""
+
+import dataclasses
+
+from spindle_decisions.wire.fleet_instance import FleetInstance
+
+
+@dataclasses.dataclass(frozen=True)
+class SpreadAsk:
+    """Ask `owner` for the shards at `places`; `repeat` says that they were asked before."""
+
+    token: int
+    owner: FleetInstance
+    places: tuple[int, ...]
+    repeat: bool
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/spread_part.py
@@ -0,0 +1,11 @@
+"""What an owner brought."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class SpreadPart:
+    """The greatest records of some shards and the signatures of those that answered."""
+
+    signatures: tuple[str, ...]
+    records: bytes
--- a/packages/decisions/src/spindle_decisions/wire/control_beat.py
+++ b/packages/decisions/src/spindle_decisions/wire/control_beat.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from spindle_decisions.wire.fleet_instance import FleetInstance
 from spindle_decisions.wire.heard_instance import HeardInstance
 
 
@@ -19,3 +20,4 @@
     quorum_age_ms: int
     list_digest: str
     list_age_ms: int
+    peers: tuple[FleetInstance, ...] | None = None
--- a/packages/decisions/src/spindle_decisions/wire/entry_beat.py
+++ b/packages/decisions/src/spindle_decisions/wire/entry_beat.py
@@ -6,10 +6,14 @@
 
 
 class EntryBeat(msgspec.Struct, frozen=True, tag="entry-beat"):
-    """Who beats and what it holds; `primary` asks for news without being asked again."""
+    """Who beats and what it holds; `primary` asks for news without being asked again.
+
+    `peers_digest` names the entry instances of its data centre that it knows of.
+    """
 
     instance: FleetInstance
     primary: bool
     plan_version: int
     list_digest: str
     leaving: bool = False
+    peers_digest: str = ""
--- a/packages/decisions/src/spindle_decisions/wire/message.py
+++ b/packages/decisions/src/spindle_decisions/wire/message.py
@@ -16,6 +16,8 @@
 from spindle_decisions.wire.propose import Propose
 from spindle_decisions.wire.propose_reply import ProposeReply
 from spindle_decisions.wire.raft_packet import RaftPacket
+from spindle_decisions.wire.spread_question import SpreadQuestion
+from spindle_decisions.wire.spread_reply import SpreadReply
 from spindle_decisions.wire.status_wanted import StatusWanted
 from spindle_decisions.wire.summary_ack import SummaryAck
 from spindle_decisions.wire.summary_report import SummaryReport
@@ -37,6 +39,8 @@
     | Propose
     | ProposeReply
     | RaftPacket
+    | SpreadQuestion
+    | SpreadReply
     | StatusWanted
     | SummaryAck
     | SummaryReport
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/wire/spread_question.py
@@ -0,0 +1,29 @@
+"""A question to the owner of some shards."""
+
+import msgspec
+
+
+class SpreadQuestion(msgspec.Struct, frozen=True, tag="spread-question"):
+    """A request of a caller, as it was sent, for the shards that are named.
+
+    `left_ms` is how long the caller waits, `aim_left_ms` until when the answer is
+    wanted. `repeat` says that another owner was asked for the same before.
+    """
+
+    seq: int
+    reply_to: str
+    shards: tuple[str, ...]
+    top_records: int
+    route: str
+    max_attempts: int
+    aim_ms: int
+    aim_left_ms: int
+    left_ms: int
+    repeat: bool
+    method: str
+    target: str
+    host: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    has_body: bool
+    request_id: str
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/wire/spread_reply.py
@@ -0,0 +1,13 @@
+"""The answer of the owner of some shards."""
+
+import msgspec
+
+
+class SpreadReply(msgspec.Struct, frozen=True, tag="spread-reply"):
+    """Signatures of the shards that answered, and their greatest records."""
+
+    seq: int
+    owner: str
+    signatures: tuple[str, ...]
+    records: bytes
+    sends: int
--- a/tests/daemon/routed/common.py
+++ b/tests/daemon/routed/common.py
@@ -124,6 +124,7 @@
 
     def __init__(self) -> None:
         self.keeper = ListKeeper()
+        self.peers = ()
 
     def settled(self) -> bool:
         """The plan is sure."""
@@ -134,12 +135,20 @@
         return 0.0
 
 
+class NoTransport:
+    """A mesh without anybody."""
+
+    def handle(self, kind: object, handler: object) -> None:
+        """Register nothing."""
+
+
 class Tier:
     """An entry instance over a plan and scripted upstreams."""
 
     def __init__(self, routes: tuple[Route, ...], upstreams: tuple[ScriptedUpstream, ...]) -> None:
         self.upstreams = upstreams
         self.spindle = Spindle(_settings(), SystemClock(), random.Random(1), 1)
+        self.spindle.transport = NoTransport()  # type: ignore[assignment]
         routed = self.spindle.settings.routed
         assert routed is not None
         dialect = Dialect(HEADERS, Paths("GET /r", "POST /p", "GET /p"), None, None)  # type: ignore[arg-type]
--- a/tests/decisions/routing/test_replicas.py
+++ b/tests/decisions/routing/test_replicas.py
@@ -170,3 +170,29 @@
             replica = made.replicas.replicas[f"s{number}-b"]
             made.replicas.silent(replica, NOW, const.SILENT_S, USUAL_S)
         self.assertTrue(made.replicas.cut_off(NOW))
+
+
+class TestCrowded(unittest.TestCase):
+    """Where there is less than a connection for each instance, shards have owners."""
+
+    @params((6, 25, False, 3), (9, 26, False, 2), (74, 59, True, 12), (62, 53, True, 11))
+    def test_shares(self, instances: int, bound: int, crowded: bool, share: int) -> None:
+        made = shard_book(4, 2)
+        made.owned = frozenset(gather_route(4).shards)
+        made.instances = instances
+        made.share_connections(dict.fromkeys(made.owned, bound), NOW)
+        self.assertEqual(made.crowded, crowded)
+        shares = {item.connection_share for item in made.replicas.replicas.values()}
+        self.assertEqual(shares, {share})
+
+    def test_owners_share_the_budget_of_their_shards_only(self) -> None:
+        made = shard_book(4, 2)
+        made.owned = frozenset(("s0",))
+        made.instances = 74
+        made.share_connections({"s0": 59, "s1": 59}, NOW)
+        taken = {"s0": 0, "s1": 0}
+        for name in taken:
+            while made.take_repeat(name, NOW):
+                taken[name] += 1
+        self.assertGreater(taken["s0"], 4)
+        self.assertEqual(taken["s1"], 0)
--- /dev/null
+++ b/tests/decisions/routing/test_spread.py
@@ -0,0 +1,115 @@
+"""Gathered requests whose shards belong to owners."""
+
+import unittest
+
+from nose2.tools import params
+
+from spindle_decisions.routing.shard_owners import group_by_owner, owners_of
+from spindle_decisions.routing.spread import Spread
+from spindle_decisions.routing.spread_ask import SpreadAsk
+from spindle_decisions.routing.spread_part import SpreadPart
+from spindle_decisions.wire.fleet_instance import FleetInstance
+from tests.decisions.routing.common import gather_route
+
+NOW = 100.0
+AIM_S = 0.1
+PEERS = tuple(
+    FleetInstance(f"front-{number}", "entry", "rennes-a", f"tcp://10.0.0.{number}:1", 1)
+    for number in range(6)
+)
+SHARDS = [(at, f"s{at}") for at in range(90)]
+
+
+def part(ask: SpreadAsk, missing: int = 0) -> SpreadPart:
+    """Return what an owner brings whose last shards did not answer."""
+    places = ask.places[: len(ask.places) - missing]
+    return SpreadPart(tuple(f"stamp-{place}" for place in places), b"x" * 16)
+
+
+class TestOwners(unittest.TestCase):
+    def test_every_shard_has_one_owner(self) -> None:
+        groups = group_by_owner(SHARDS, PEERS, 0)
+        self.assertEqual(sorted(at for group in groups.values() for at in group), list(range(90)))
+        self.assertEqual(set(groups), set(PEERS))
+
+    def test_the_next_owner_is_another(self) -> None:
+        for _, shard in SHARDS:
+            first, second, *_ = owners_of(shard, PEERS)
+            self.assertNotEqual(first, second)
+
+    def test_only_the_shards_of_one_that_left_move(self) -> None:
+        left = PEERS[2]
+        rest = tuple(peer for peer in PEERS if peer != left)
+        for _, shard in SHARDS:
+            before, after = owners_of(shard, PEERS)[0], owners_of(shard, rest)[0]
+            if before != left:
+                self.assertEqual(before, after)
+
+    def test_alone_it_owns_everything(self) -> None:
+        self.assertEqual(group_by_owner(SHARDS, PEERS[:1], 1), {})
+        self.assertEqual(len(group_by_owner(SHARDS, PEERS[:1], 0)), 1)
+
+
+class TestSpread(unittest.TestCase):
+    def start(self, least: float = 0.9) -> list[SpreadAsk]:
+        self.spread = Spread(gather_route(90, least), PEERS, NOW, 0.5)
+        return self.spread.start()
+
+    def ended(self) -> tuple[str, bool] | None:
+        end = self.spread.end
+        return None if end is None else (end.reason, end.answered)
+
+    def signatures(self) -> list[str]:
+        return [item for part in self.spread.parts for item in part.signatures]
+
+    def test_whole(self) -> None:
+        for ask in self.start():
+            self.spread.answer(ask.token, part(ask), NOW + 0.02)
+        self.assertEqual(self.ended(), ("whole", True))
+        self.assertEqual(len(set(self.signatures())), 90)
+
+    def test_a_silent_owner_is_overtaken_by_the_next(self) -> None:
+        silent, *others = self.start()
+        for ask in others:
+            self.spread.answer(ask.token, part(ask), NOW + 0.02)
+        again = self.spread.tick(self.spread.wake_at())
+        self.assertTrue(all(ask.repeat for ask in again))
+        self.assertNotIn(silent.owner, {ask.owner for ask in again})
+        self.assertEqual(self.spread.silent, {silent.owner.name})
+        for ask in again:
+            self.spread.answer(ask.token, part(ask), NOW + 0.08)
+        self.assertEqual(self.ended(), ("whole", True))
+
+    def test_no_shard_counts_twice(self) -> None:
+        late, *others = self.start()
+        for ask in others:
+            self.spread.answer(ask.token, part(ask), NOW + 0.02)
+        again = self.spread.tick(self.spread.wake_at())
+        self.spread.answer(again[0].token, part(again[0]), NOW + 0.07)
+        self.spread.answer(late.token, part(late), NOW + 0.071)
+        for ask in again[1:]:
+            self.spread.answer(ask.token, part(ask), NOW + 0.072)
+        signatures = self.signatures()
+        self.assertEqual(len(signatures), len(set(signatures)))
+        self.assertEqual(self.ended(), ("whole", True))
+
+    @params((0.5, ("aim", True)), (0.99, None))
+    def test_at_the_aim_the_least_share_is_enough(
+        self, least: float, end: tuple[str, bool] | None
+    ) -> None:
+        for ask in self.start(least)[1:]:
+            self.spread.answer(ask.token, part(ask), NOW + 0.02)
+        self.spread.tick(NOW + AIM_S)
+        self.assertEqual(self.ended(), end)
+
+    @params((1, ("settled", True)), (5, ("settled", False)))
+    def test_owners_say_what_is_missing(self, missing: int, end: tuple[str, bool]) -> None:
+        for ask in self.start():
+            self.spread.answer(ask.token, part(ask, missing), NOW + 0.02)
+        self.assertEqual(self.ended(), end)
+        self.assertEqual(self.spread.answered, 90 - 6 * missing)
+
+    def test_deadline(self) -> None:
+        self.start()
+        self.spread.tick(NOW + 0.5)
+        self.assertEqual(self.ended(), ("deadline", False))
