Ask one owner for a shard, never two

Two owners cannot know of each other's sends. Ruled out: an acknowledgement by the owner; one that was frozen would run its questions late all the same. Conclusion: the second ask is gone; an owner that was silent is left out of the next requests for 3 s.

--- a/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -12,7 +12,6 @@
 from spindle_decisions.routing.part_send import PartSend
 from spindle_decisions.routing.records import greatest_records
 from spindle_decisions.routing.route import Route
-from spindle_decisions.routing.send_cause import FIRST
 from spindle_decisions.routing.serving_book import ServingBook
 from spindle_decisions.routing.spread_part import SpreadPart
 
@@ -20,14 +19,12 @@
 class GatherRunner:
     """Carries out what a `Gather` decides and merges the parts."""
 
-    def __init__(
-        self, crew: SendCrew, book: ServingBook, route: Route, first_cause: str = FIRST
-    ) -> None:
+    def __init__(self, crew: SendCrew, book: ServingBook, route: Route) -> None:
         self.crew = crew
         self.route = route
         now = crew.clock.now()
         limit_s = time_left_s(crew.request, route, now)
-        self.gather = Gather(route, book, now, limit_s, first_cause)
+        self.gather = Gather(route, book, now, limit_s)
 
     def run(self) -> RoutedAnswer | None:
         """Return the answer, `None` if the caller left; raises `RefusalError`."""
--- a/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
@@ -15,7 +15,6 @@
 from spindle_decisions.routing.const import OWNER_SILENT_S
 from spindle_decisions.routing.part_send import next_token
 from spindle_decisions.routing.route import Route
-from spindle_decisions.routing.send_cause import FIRST, HEDGE
 from spindle_decisions.routing.serving_book import ServingBook
 from spindle_decisions.util.units import MS_PER_S
 from spindle_decisions.wire.fleet_instance import FleetInstance
@@ -92,9 +91,7 @@
             arrived_at=self.spindle.clock.now(),
         )
         crew = SendCrew(self.spindle.clock, self.sender, request, record)
-        cause = HEDGE if question.repeat else FIRST
-        runner = GatherRunner(crew, self.book, owned_route(question), cause)
-        part = runner.run_part()
+        part = GatherRunner(crew, self.book, owned_route(question)).run_part()
         return SpreadReply(question.seq, self.name, part.signatures, part.records, record.sends)
 
 
--- a/packages/daemon/src/spindle_daemon/components/routed/spread_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/spread_runner.py
@@ -55,7 +55,7 @@
             while self.replies:
                 self._take(*self.replies.popleft())
             if spread.end is None:
-                self._ask(spread.tick(self.clock.now()))
+                spread.tick(self.clock.now())
         if self.left:
             return None
         for ask in spread.out.values():
@@ -70,8 +70,6 @@
 
     def _ask(self, asks: list[SpreadAsk]) -> None:
         for ask in asks:
-            if ask.repeat:
-                self.record.repeats["owner"] = self.record.repeats.get("owner", 0) + 1
             self.desk.ask(ask.owner, self._question(ask), self._listener(ask.token))
 
     def _listener(self, token: int) -> ReplyListener:
@@ -97,11 +95,10 @@
             shards=tuple(self.route.shards[at] for at in ask.places),
             top_records=self.route.top_records,
             route=self.route.name,
-            max_attempts=1 if ask.repeat else self.route.max_attempts,
+            max_attempts=self.route.max_attempts,
             aim_ms=self.route.aim_ms,
             aim_left_ms=max(1, int((self.spread.aim_at - now) * MS_PER_S)),
             left_ms=max(1, int((self.spread.end_at - now) * MS_PER_S)),
-            repeat=ask.repeat,
             method=request.method,
             target=request.target,
             host=request.host,
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -60,7 +60,7 @@
 CROWDED_CONNECTIONS = 1.5
 # Owners of a shard in each data centre that are counted as sharers of its upstreams.
 OWNERS_EACH = 2
-# An owner without word is overtaken after this part of the aim.
-OWNER_PATIENCE_PART = 0.55
+# An owner without word after this part of the aim counts as silent if it stays so.
+OWNER_PATIENCE_PART = 0.7
 # An owner that was silent is not asked for this long.
 OWNER_SILENT_S = 3.0
--- a/packages/decisions/src/spindle_decisions/routing/gather.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather.py
@@ -15,8 +15,7 @@
     A part that is missing costs the answer the square of its share, while an answer
     behind the aim is worth a small part of one within it. So the request ends, once
     the least share is in, at the aim at the latest; before it only when nothing more
-    can come. Where another instance asked for these shards before, `first_cause` says
-    so and even the first sends are paid from the budget. Example:
+    can come. Example:
 
         gather = Gather(route, book, now, limit_s)
         sends = gather.start(now)
@@ -24,15 +23,7 @@
         if gather.end is not None: ...
     """
 
-    def __init__(
-        self,
-        route: Route,
-        book: ServingBook,
-        now: float,
-        limit_s: float,
-        first_cause: str = send_cause.FIRST,
-    ) -> None:
-        self.first_cause = first_cause
+    def __init__(self, route: Route, book: ServingBook, now: float, limit_s: float) -> None:
         self.route = route
         self.book = book
         self.shards = [GatherShard(service) for service in route.shards]
@@ -51,9 +42,8 @@
         """Return the first send of each shard."""
         sends = []
         for at, shard in enumerate(self.shards):
-            if self.first_cause == send_cause.FIRST:
-                self.book.budget(shard.service).requested(now)
-            sends.append(self._send(at, self.first_cause, now))
+            self.book.budget(shard.service).requested(now)
+            sends.append(self._send(at, send_cause.FIRST, now))
         self._judge(now)
         return [send for send in sends if send is not None]
 
--- a/packages/decisions/src/spindle_decisions/routing/shard_owners.py
+++ b/packages/decisions/src/spindle_decisions/routing/shard_owners.py
@@ -6,21 +6,19 @@
 from spindle_decisions.wire.fleet_instance import FleetInstance
 
 
-def owners_of(shard: str, peers: tuple[FleetInstance, ...]) -> list[FleetInstance]:
-    """Return the instances in the order in which they own a shard, the owner first.
+def owner_of(shard: str, peers: tuple[FleetInstance, ...]) -> FleetInstance:
+    """Return the instance that owns a shard.
 
     Rendezvous hashing: when an instance leaves, only the shards that it owned move.
     """
-    return sorted(peers, key=lambda peer: zlib.crc32(f"{shard} {peer.name}".encode()), reverse=True)
+    return max(peers, key=lambda peer: zlib.crc32(f"{shard} {peer.name}".encode()))
 
 
 def group_by_owner(
-    shards: Iterable[tuple[int, str]], peers: tuple[FleetInstance, ...], rank: int
+    shards: Iterable[tuple[int, str]], peers: tuple[FleetInstance, ...]
 ) -> dict[FleetInstance, tuple[int, ...]]:
-    """Return the places of the shards by the instance of that rank among their owners."""
+    """Return the places of the shards by their owners."""
     groups: dict[FleetInstance, list[int]] = {}
     for at, shard in shards:
-        ordered = owners_of(shard, peers)
-        if rank < len(ordered):
-            groups.setdefault(ordered[rank], []).append(at)
+        groups.setdefault(owner_of(shard, peers), []).append(at)
     return {owner: tuple(places) for owner, places in groups.items()}
--- a/packages/decisions/src/spindle_decisions/routing/spread_ask.py
+++ b/packages/decisions/src/spindle_decisions/routing/spread_ask.py
@@ -7,9 +7,8 @@
 
 @dataclasses.dataclass(frozen=True)
 class SpreadAsk:
-    """Ask `owner` for the shards at `places`; `repeat` says that they were asked before."""
+    """Ask `owner` for the shards at `places` of the route."""
 
     token: int
     owner: FleetInstance
     places: tuple[int, ...]
-    repeat: bool
--- a/packages/decisions/src/spindle_decisions/wire/spread_question.py
+++ b/packages/decisions/src/spindle_decisions/wire/spread_question.py
@@ -7,7 +7,7 @@
     """A request of a caller, as it was sent, for the shards that are named.
 
     `left_ms` is how long the caller waits, `aim_left_ms` until when the answer is
-    wanted. `repeat` says that another owner was asked for the same before.
+    wanted.
     """
 
     seq: int
@@ -19,7 +19,6 @@
     aim_ms: int
     aim_left_ms: int
     left_ms: int
-    repeat: bool
     method: str
     target: str
     host: str
