--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -1,24 +1,29 @@
 """Serving routed requests."""
 
 import logging
+from collections.abc import Callable
+
+import gevent
 
 from spindle_daemon.components.fleet.entry_desk import EntryDesk
 from spindle_daemon.components.fleet.plan_taken import PlanTaken
 from spindle_daemon.components.fleet.upstreams_taken import UpstreamsTaken
 from spindle_daemon.components.routed.gather_runner import GatherRunner
+from spindle_daemon.components.routed.owner_desk import OwnerDesk
 from spindle_daemon.components.routed.routed_answer import RoutedAnswer
 from spindle_daemon.components.routed.routed_request import RoutedRequest
 from spindle_daemon.components.routed.run_record import RunRecord
 from spindle_daemon.components.routed.send_crew import SendCrew
 from spindle_daemon.components.routed.sender import Sender
 from spindle_daemon.components.routed.single_runner import SingleRunner
+from spindle_daemon.components.routed.spread_runner import SpreadRunner
 from spindle_daemon.core.caller import Caller
 from spindle_daemon.core.dialect import Dialect
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.settings.routed_settings import RoutedSettings
 from spindle_decisions.exceptions import NoPlanError, OverloadedError, UnknownRouteError
 from spindle_decisions.routing.budget_bounds import BudgetBounds
-from spindle_decisions.routing.const import QUORUM_LOST_S
+from spindle_decisions.routing.const import QUORUM_LOST_S, UNSURE_S
 from spindle_decisions.routing.plan import EMPTY_PLAN
 from spindle_decisions.routing.route_table import RouteTable
 from spindle_decisions.routing.serving_book import ServingBook
@@ -38,11 +43,15 @@
         self.spindle = spindle
         self.desk = desk
         self.table = RouteTable(EMPTY_PLAN)
+        self.was_cut_off = False
         bounds = BudgetBounds(
             routed.budget_ratio, routed.budget_window_ms / MS_PER_S, routed.budget_burst
         )
-        self.book = ServingBook(spindle.settings.instance.data_center, bounds, spindle.rng)
+        sure_at = spindle.clock.now() + UNSURE_S
+        self.book = ServingBook(spindle.settings.instance.data_center, bounds, spindle.rng, sure_at)
+        gevent.spawn_later(UNSURE_S, self._share)
         self.sender = Sender(spindle.clock, dialect.headers, self.book.replicas)
+        self.owners = OwnerDesk(spindle, self.sender, self.book)
         spindle.bus.listen(PlanTaken, self._take_plan)
         spindle.bus.listen(UpstreamsTaken, self._take_upstreams)
 
@@ -58,9 +67,21 @@
         and cannot serve a route for that reason. While it can serve, it goes on.
         """
         now = self.spindle.clock.now()
-        if self.desk.quorum_age_s() < QUORUM_LOST_S and not self.book.replicas.cut_off(now):
-            return False
-        return self.book.lacks_service(self.table.plan.routes, now)
+        cut = self.desk.quorum_age_s() >= QUORUM_LOST_S or self.book.replicas.cut_off(now)
+        cut = cut and self.book.lacks_service(self.table.plan.routes, now)
+        if cut != self.was_cut_off:
+            self.was_cut_off = cut
+            self._note_cut_off(now)
+        return cut
+
+    def _note_cut_off(self, now: float) -> None:
+        event = "cut-off" if self.was_cut_off else "back-in-reach"
+        fields = {
+            "event": event,
+            "quorum_age": round(self.desk.quorum_age_s(), 1),
+            "dark": self.book.replicas.watch.dark(now),
+        }
+        _LOGGER.warning("routed: %s", event, extra=fields)
 
     def serve(
         self, request: RoutedRequest, caller: Caller, record: RunRecord
@@ -75,14 +96,13 @@
         record.beliefs = self._beliefs()
         if not self.book.admit(route, self.spindle.clock.now()):
             raise OverloadedError("too few upstreams can be reached")
+        if route.shards and self.book.crowded and len(self.desk.peers) > 1:
+            spread = SpreadRunner(self.owners, self.desk.peers, route, request, record)
+            return watched(spread.run, caller, spread.caller_left)
         crew = SendCrew(self.spindle.clock, self.sender, request, record)
         runner_type = GatherRunner if route.shards else SingleRunner
         runner = runner_type(crew, self.book, route)
-        caller.watch(crew.caller_left)
-        try:
-            return runner.run()
-        finally:
-            caller.unwatch()
+        return watched(runner.run, caller, crew.caller_left)
 
     def _beliefs(self) -> dict[str, object]:
         now = self.spindle.clock.now()
@@ -95,6 +115,7 @@
 
     def _take_plan(self, event: PlanTaken) -> None:
         self.table = RouteTable(event.plan)
+        self.book.owned = frozenset(name for item in event.plan.routes for name in item.shards)
         self._share()
 
     def _take_upstreams(self, event: UpstreamsTaken) -> None:
@@ -104,5 +125,16 @@
 
     def _share(self) -> None:
         bounds = {item.name: item.max_connections for item in self.table.plan.services}
-        self.book.replicas.share_connections(bounds, self.book.instances)
+        self.book.share_connections(bounds, self.spindle.clock.now())
         self.sender.set_shares(self.book.replicas.replicas)
+
+
+def watched(
+    run: Callable[[], RoutedAnswer | None], caller: Caller, on_left: Callable[[], None]
+) -> RoutedAnswer | None:
+    """Run a request while its caller is watched."""
+    caller.watch(on_left)
+    try:
+        return run()
+    finally:
+        caller.unwatch()
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -49,5 +49,18 @@
 BUDGET_RATIO_PART = 0.85
 BUDGET_BURST_PART = 0.7
 BUDGET_BUCKETS = 20
+# Right after a start nobody knows yet how many instances share: so many are assumed at
+# least, and nothing of the fixed part of the budget is taken, for so long.
+UNSURE_INSTANCES = 8
+UNSURE_S = 2.5
 # The part of the connections of an upstream that is shared out; the rest is for newcomers.
 CONNECTION_PART = 0.85
+# Instances that would have less than this many connections to an upstream leave each
+# shard to owners.
+CROWDED_CONNECTIONS = 1.5
+# Owners of a shard in each data centre that are counted as sharers of its upstreams.
+OWNERS_EACH = 2
+# An owner without word after this part of the aim counts as silent if it stays so.
+OWNER_PATIENCE_PART = 0.7
+# An owner that was silent is not asked for this long.
+OWNER_SILENT_S = 3.0
--- a/packages/decisions/src/spindle_decisions/routing/gather.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather.py
@@ -33,7 +33,7 @@
         self.aim_at = now + max(0.0, aim_s - const.ANSWER_MARGIN_S)
         self.end_at = now + limit_s
         self.missing = len(self.shards)
-        self.may_miss = len(self.shards) - _least_parts(route)
+        self.may_miss = len(self.shards) - least_parts(route)
         self.lost = 0
         self.end: GatherEnd | None = None
         self.sends: dict[int, PartSend] = {}
@@ -137,7 +137,10 @@
             self.end = GatherEnd("deadline", enough)
 
 
-def _least_parts(route: Route) -> int:
+def least_parts(route: Route) -> int:
+    """Return how many shards must have answered; a share of 0 needs none."""
+    if route.least_share <= 0:
+        return 0
     count = len(route.shards)
     for parts in range(1, count + 1):
         if parts / count >= route.least_share:
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/shard_owners.py
@@ -0,0 +1,24 @@
+"""Which entry instance of a data centre owns a shard."""
+
+import zlib
+from collections.abc import Iterable
+
+from spindle_decisions.wire.fleet_instance import FleetInstance
+
+
+def owner_of(shard: str, peers: tuple[FleetInstance, ...]) -> FleetInstance:
+    """Return the instance that owns a shard.
+
+    Rendezvous hashing: when an instance leaves, only the shards that it owned move.
+    """
+    return max(peers, key=lambda peer: zlib.crc32(f"{shard} {peer.name}".encode()))
+
+
+def group_by_owner(
+    shards: Iterable[tuple[int, str]], peers: tuple[FleetInstance, ...]
+) -> dict[FleetInstance, tuple[int, ...]]:
+    """Return the places of the shards by their owners."""
+    groups: dict[FleetInstance, list[int]] = {}
+    for at, shard in shards:
+        groups.setdefault(owner_of(shard, peers), []).append(at)
+    return {owner: tuple(places) for owner, places in groups.items()}
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/routing/spread_ask.py
@@ -0,0 +1,14 @@
+"""One question to an owner."""
+
+import dataclasses
+
+from spindle_decisions.wire.fleet_instance import FleetInstance
+
+
+@dataclasses.dataclass(frozen=True)
+class SpreadAsk:
+    """Ask `owner` for the shards at `places` of the route."""
+
+    token: int
+    owner: FleetInstance
+    places: tuple[int, ...]
