--- a/packages/daemon/src/spindle_daemon/components/fleet/const.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/const.py
@@ -1,6 +1,8 @@
 """Periods of the fleet."""
 
 HELLO_S = 0.4
+# While no leader is known; votes need the addresses that hellos bring.
+HELLO_HASTY_S = 0.08
 BEAT_S = 0.4
 # Until a plan is held.
 BEAT_HASTY_S = 0.1
--- a/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
@@ -5,7 +5,7 @@
 import gevent
 
 from spindle_daemon.components.control.raft_driver import RaftDriver
-from spindle_daemon.components.fleet.const import HELLO_S, LIST_NEWS_S
+from spindle_daemon.components.fleet.const import HELLO_HASTY_S, HELLO_S, LIST_NEWS_S
 from spindle_daemon.components.fleet.fleet_instance import fleet_instance
 from spindle_daemon.components.fleet.list_codec import decode_list, encode_list
 from spindle_daemon.components.fleet.list_reader import ListReader
@@ -74,7 +74,7 @@
 
     def start(self) -> None:
         """Start the greenlets."""
-        gevent.spawn(run_every, "fleet", lambda: HELLO_S, self._say_hello)
+        gevent.spawn(run_every, "fleet", self._hello_s, self._say_hello)
         self.reader.start()
 
     def address_of(self, name: str) -> str | None:
@@ -92,6 +92,11 @@
             if beat.primary and beat.plan_version < push.version:
                 self.spindle.transport.send(beat.instance.address, push)
 
+    def _hello_s(self) -> float:
+        node = self.driver.node
+        led = node.leader is not None or node.role is Role.LEADER
+        return HELLO_S if led else HELLO_HASTY_S
+
     def _say_hello(self) -> None:
         now = self.spindle.clock.now()
         self.table.heard(now, self.me)
