--- a/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -67,7 +67,9 @@
         end = self.gather.end
         assert end is not None
         parts = self._parts()
-        self.crew.record.gathered(end.reason, len(parts), len(self.gather.shards))
+        shards = self.gather.shards
+        self.crew.record.gathered(end.reason, len(parts), len(shards))
+        self.crew.record.unsent = [shard.service for shard in shards if not shard.tried]
         if end.answered:
             return self._merged(parts)
         if not self.crew.record.sends:
--- a/packages/daemon/src/spindle_daemon/components/routed/request_log.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/request_log.py
@@ -17,6 +17,7 @@
 KIND_GATHER = "gather"
 KIND_SINGLE = "single"
 KIND_NONE = "none"
+MAX_UNSENT_NAMES = 5
 
 
 class RoutedLog:
@@ -95,6 +96,8 @@
             fields.update(end=record.end, parts=record.parts, shards=record.shards)
         elif record.upstream:
             fields["upstream"] = record.upstream
+        if record.unsent:
+            fields["unsent"] = [len(record.unsent), *record.unsent[:MAX_UNSENT_NAMES]]
         fields.update(record.repeats)
         if record.notes:
             fields["notes"] = record.notes
--- a/packages/daemon/src/spindle_daemon/components/routed/run_record.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/run_record.py
@@ -10,7 +10,8 @@
 class RunRecord:
     """Sends by cause, the first failures, and how a gather ended.
 
-    `beliefs` is what the decisions rested on: versions and ages.
+    `beliefs` is what the decisions rested on: versions and ages. `unsent` has the
+    shards for which no upstream could be chosen.
     """
 
     def __init__(self) -> None:
@@ -19,6 +20,7 @@
         self.sends = 0
         self.repeats: dict[str, int] = {}
         self.notes: list[str] = []
+        self.unsent: list[str] = []
         self.upstream = ""
         self.end = ""
         self.parts = 0
