--- a/tests/integration/fleet_case.py
+++ b/tests/integration/fleet_case.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import random
 import tempfile
 import time
 import unittest
@@ -36,6 +37,8 @@
         folder = tempfile.TemporaryDirectory(prefix="spindle-fleet-")
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
+        # The metrics port is the same for all, so each test has addresses of its own.
+        self.network = random.randrange(1, 255)
         self.mesh, self.operator, self.front, self.ready = free_ports(4)
         self.platform = Platform()
         self.addCleanup(self.platform.server.stop)
@@ -62,7 +65,7 @@
     def ip(self, name: str) -> str:
         """Return the loopback address of a process."""
         kind, number = name.split("-")
-        return f"127.0.{1 if kind == 'core' else 2}.{number}"
+        return f"127.{self.network}.{1 if kind == 'core' else 2}.{number}"
 
     def write_settings(self, name: str, founding: bool, seeds: tuple[int, ...] = (1, 2, 3)) -> None:
         """Write the settings file of a process as the platform would."""
@@ -74,7 +77,7 @@
             "role": "control" if control else "entry",
             "ip": ip,
             "internalPortRange": [self.mesh, self.mesh],
-            "seeds": [f"127.0.1.{number}:{self.operator}" for number in seeds],
+            "seeds": [f"127.{self.network}.1.{number}:{self.operator}" for number in seeds],
             "bootstrap": founding,
             "provider": {"address": f"127.0.0.1:{self.platform.server.server_port}"},
             "listen": {"front": f"{ip}:{self.front}", "ready": f"{ip}:{self.ready}"},
