--- a/packages/daemon/src/spindle_daemon/components/fleet/const.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/const.py
@@ -6,8 +6,6 @@
 # One hello in so many tells whom its sender heard.
 HELLO_FULL_EVERY = 4
 BEAT_S = 0.4
-# Control instances that are not the first of an entry instance get one beat in so many.
-BEAT_OTHERS_EVERY = 4
 # Until a plan is held.
 BEAT_HASTY_S = 0.1
 READ_TICK_S = 0.1
--- a/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
@@ -8,7 +8,6 @@
 
 from spindle_daemon.components.fleet.const import (
     BEAT_HASTY_S,
-    BEAT_OTHERS_EVERY,
     BEAT_S,
     PLAN_SURE_S,
     PLAN_SURE_WAIT_S,
@@ -25,6 +24,7 @@
 from spindle_daemon.settings.fleet_settings import FleetSettings
 from spindle_decisions.exceptions import FrameError, PlanError
 from spindle_decisions.fleet import const
+from spindle_decisions.fleet.beat_plan import beats_now
 from spindle_decisions.fleet.fleet_table import FleetTable
 from spindle_decisions.fleet.instances_digest import instances_digest
 from spindle_decisions.fleet.list_keeper import ListKeeper
@@ -123,10 +123,11 @@
         self._note_quorum()
         self.beats += 1
         targets = self._targets()
-        for address in targets:
-            primary = address == targets[0]
-            if not primary and self.was_sure and self.beats % BEAT_OTHERS_EVERY:
+        age_s = self.quorum_age_s()
+        for place, address in enumerate(targets):
+            if not beats_now(self.beats, place, self.was_sure, age_s):
                 continue
+            primary = place == 0
             self._redial(now, address, primary)
             self.asked_at.setdefault(address, now)
             self.spindle.transport.send(address, self._message(address, primary))
--- a/packages/decisions/src/spindle_decisions/fleet/const.py
+++ b/packages/decisions/src/spindle_decisions/fleet/const.py
@@ -11,6 +11,10 @@
 REDIAL_S = 1.2
 # The same for a control instance that gets only some of the beats.
 REDIAL_OTHERS_S = 4.0
+# Control instances that are not the first of an entry instance get one beat in so many,
+# until the word of a quorum is this old.
+BEAT_OTHERS_EVERY = 4
+QUORUM_DOUBT_S = 0.6
 # The control instances that an entry instance beats to.
 BEAT_TARGETS = 3
 # Age of the list of upstreams at which the leader, the others by rank, and at last
--- a/tests/decisions/fleet/test_fleet.py
+++ b/tests/decisions/fleet/test_fleet.py
@@ -5,11 +5,13 @@
 from nose2.tools import params
 
 from spindle_decisions.fleet import const
+from spindle_decisions.fleet.beat_plan import beats_now
 from spindle_decisions.fleet.fleet_table import FleetTable
 from spindle_decisions.fleet.founding import Founding
 from spindle_decisions.fleet.list_keeper import ListKeeper
 from spindle_decisions.fleet.list_turn import read_after_s
 from spindle_decisions.fleet.news_targets import choose_targets
+from spindle_decisions.routing.const import QUORUM_LOST_S
 from spindle_decisions.routing.upstream_list import UpstreamList, create_upstream_list
 from spindle_decisions.wire.fleet_hello import FleetHello
 from spindle_decisions.wire.fleet_instance import FleetInstance
@@ -155,6 +157,24 @@
         self.assertIn(control(1).address, targets)
 
 
+class TestBeats(unittest.TestCase):
+    @params(
+        ("the first gets all", 0, True, 0.1, 8),
+        ("the others get some", 1, True, 0.1, 2),
+        ("all while nothing is settled", 1, False, 0.1, 8),
+        ("all when the quorum is in doubt", 1, True, const.QUORUM_DOUBT_S + 0.1, 8),
+    )
+    def test_beats(
+        self, _name: str, place: int, settled: bool, age_s: float, expected: int
+    ) -> None:
+        sent = sum(beats_now(number, place, settled, age_s) for number in range(8))
+        self.assertEqual(sent, expected)
+
+    def test_a_lost_first_is_noticed_before_the_quorum_counts_as_lost(self) -> None:
+        beat_s = 0.4
+        self.assertLess(const.QUORUM_DOUBT_S + beat_s, QUORUM_LOST_S)
+
+
 class TestFounding(unittest.TestCase):
     def hello(self, number: int, founding: bool = True) -> FleetHello:
         return FleetHello(control(number), f"folder-{number}", founding, ())
