--- a/packages/daemon/src/spindle_daemon/components/routed/application.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/application.py
@@ -19,6 +19,7 @@
 from spindle_daemon.helpers.socket_caller import SocketCaller
 from spindle_decisions.exceptions import LeavingError, NoPlanError, SpindleError
 from spindle_decisions.util.units import MS_PER_S
+from spindle_decisions.wire.caller_request import CallerRequest
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -93,7 +94,7 @@
             host = parts.netloc
             target = (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
         chunked = "chunked" in handler.headers.get("transfer-encoding", "").lower()
-        return RoutedRequest(
+        sent = CallerRequest(
             method=handler.command,
             target=target,
             host=host,
@@ -101,9 +102,9 @@
             body=body,
             has_body=chunked or handler.content_length is not None,
             request_id=request_id,
-            deadline_s=_deadline_s(handler.headers.get(self.names.deadline_ms, "")),
-            arrived_at=arrived_at,
         )
+        deadline_s = _deadline_s(handler.headers.get(self.names.deadline_ms, ""))
+        return RoutedRequest(sent, deadline_s, arrived_at)
 
     def _refusal(self, err: SpindleError, request_id: str) -> RoutedAnswer:
         response = json_error(err, request_id)
--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -89,7 +89,7 @@
         """Return the answer, `None` if the caller left; raises `RefusalError`."""
         if not self.table.plan.version or not self.desk.settled():
             raise NoPlanError("no plan is known yet that is surely in force")
-        route = self.table.find(request.host, request.target)
+        route = self.table.find(request.sent.host, request.sent.target)
         if route is None:
             raise UnknownRouteError("no route for this host and path")
         record.route = route.name
--- a/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -89,5 +89,5 @@
         names = self.crew.sender.names
         signatures = [part.values[names.signature] for part in parts]
         missing = len(self.gather.shards) - len(parts)
-        request_id = self.crew.request.request_id
+        request_id = self.crew.request.sent.request_id
         return gathered_answer(names, request_id, signatures, missing, self._records(parts))
--- a/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
@@ -79,17 +79,8 @@
 
     def _gather(self, question: SpreadQuestion) -> SpreadReply:
         record = RunRecord()
-        request = RoutedRequest(
-            method=question.method,
-            target=question.target,
-            host=question.host,
-            headers=question.headers,
-            body=question.body,
-            has_body=question.has_body,
-            request_id=question.request_id,
-            deadline_s=question.left_ms / MS_PER_S,
-            arrived_at=self.spindle.clock.now(),
-        )
+        deadline_s = question.left_ms / MS_PER_S
+        request = RoutedRequest(question.request, deadline_s, self.spindle.clock.now())
         crew = SendCrew(self.spindle.clock, self.sender, request, record)
         part = GatherRunner(crew, self.book, owned_route(question)).run_part()
         return SpreadReply(question.seq, self.name, part.signatures, part.records, record.sends)
@@ -99,7 +90,7 @@
     """Return the route of the shards in a question; it ends at the aim with what is there."""
     return Route(
         name=question.route,
-        host=question.host,
+        host=question.request.host,
         prefix="/",
         idempotent=True,
         timeout_ms=question.left_ms,
--- a/packages/daemon/src/spindle_daemon/components/routed/request_text.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/request_text.py
@@ -1,8 +1,8 @@
 """The bytes of a request to an upstream."""
 
-from spindle_daemon.components.routed.routed_request import RoutedRequest
 from spindle_daemon.core.dialect import HeaderNames
 from spindle_decisions.util.units import MS_PER_S
+from spindle_decisions.wire.caller_request import CallerRequest
 
 _ENCODING = "latin-1"
 
@@ -10,7 +10,7 @@
 class RequestText:
     """The part of a request that all its sends share, and the lines that differ."""
 
-    def __init__(self, request: RoutedRequest, names: HeaderNames) -> None:
+    def __init__(self, request: CallerRequest, names: HeaderNames) -> None:
         lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {request.host}"]
         lines.extend(f"{name}: {value}" for name, value in request.headers)
         if request.has_body:
--- a/packages/daemon/src/spindle_daemon/components/routed/routed_request.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/routed_request.py
@@ -2,21 +2,13 @@
 
 import dataclasses
 
+from spindle_decisions.wire.caller_request import CallerRequest
+
 
 @dataclasses.dataclass(frozen=True)
 class RoutedRequest:
-    """What the caller sent, byte for byte, and how long it waits from now on.
-
-    `headers` are the end-to-end headers in order; `request_id` is empty if the caller
-    gave none.
-    """
+    """What the caller sent, when it arrived, and how long the caller waits from then on."""
 
-    method: str
-    target: str
-    host: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    has_body: bool
-    request_id: str
+    sent: CallerRequest
     deadline_s: float
     arrived_at: float
--- a/packages/daemon/src/spindle_daemon/components/routed/send_crew.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/send_crew.py
@@ -1,6 +1,5 @@
 """The sends of one request."""
 
-import functools
 from collections import deque
 from collections.abc import Iterator
 
@@ -11,6 +10,7 @@
 from spindle_daemon.components.routed.request_text import RequestText
 from spindle_daemon.components.routed.routed_request import RoutedRequest
 from spindle_daemon.components.routed.run_record import RunRecord
+from spindle_daemon.components.routed.send_order import SendOrder
 from spindle_daemon.components.routed.send_result import SendResult
 from spindle_daemon.components.routed.sender import Sender
 from spindle_daemon.core.clock import Clock
@@ -31,7 +31,7 @@
         self.sender = sender
         self.request = request
         self.record = record
-        self.text = RequestText(request, sender.names)
+        self.text = RequestText(request.sent, sender.names)
         self.results: deque[SendResult] = deque()
         self.wake = Event()
         self.greenlets: set[gevent.Greenlet] = set()
@@ -40,17 +40,8 @@
     def send(self, send: PartSend, end_at: float, usual: UsualTime, repeatable: bool) -> None:
         """Start a send that ends at `end_at` at the latest."""
         self.record.sent(send)
-        work = functools.partial(
-            self.sender.send,
-            send,
-            self.text,
-            self.request.method,
-            self.request.request_id,
-            end_at,
-            usual,
-            repeatable,
-        )
-        greenlet = gevent.spawn(self._work, work)
+        order = SendOrder(send, self.request.sent, self.text, end_at, usual, repeatable)
+        greenlet = gevent.spawn(self._work, order)
         self.greenlets.add(greenlet)
         greenlet.rawlink(self.greenlets.discard)
 
@@ -76,6 +67,6 @@
         self.cancel()
         self.wake.set()
 
-    def _work(self, work: functools.partial[SendResult]) -> None:
-        self.results.append(work())
+    def _work(self, order: SendOrder) -> None:
+        self.results.append(self.sender.send(order))
         self.wake.set()
--- a/packages/daemon/src/spindle_daemon/components/routed/sender.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/sender.py
@@ -7,15 +7,13 @@
 from spindle_daemon.components.routed.link_pool import LinkPool
 from spindle_daemon.components.routed.raw_reply import RawReply
 from spindle_daemon.components.routed.reply_judge import ReplyMeaning, judge_reply, reported_load
-from spindle_daemon.components.routed.request_text import RequestText
 from spindle_daemon.components.routed.send_error import SendError
+from spindle_daemon.components.routed.send_order import SendOrder
 from spindle_daemon.components.routed.send_result import SendResult
 from spindle_daemon.core.clock import Clock
 from spindle_daemon.core.dialect import HeaderNames
-from spindle_decisions.routing.part_send import PartSend
 from spindle_decisions.routing.replica import Replica
 from spindle_decisions.routing.replica_book import ReplicaBook
-from spindle_decisions.routing.usual_time import UsualTime
 
 
 class Sender:
@@ -28,76 +26,58 @@
         self.pools: dict[str, LinkPool] = {}
         self.watch = EjectionLog()
 
-    def send(
-        self,
-        send: PartSend,
-        text: RequestText,
-        method: str,
-        request_id: str,
-        end_at: float,
-        usual: UsualTime,
-        repeatable: bool,
-    ) -> SendResult:
-        """Send and wait for the answer, until `end_at` at the latest."""
-        replica = send.replica
+    def send(self, order: SendOrder) -> SendResult:
+        """Send and wait for the answer, until its time is over at the latest."""
+        replica, token = order.send.replica, order.send.token
         started = self.clock.now()
-        replica.sent(send.token, started)
+        replica.sent(token, started)
         try:
-            result = self._exchange(send, text, method, request_id, end_at, usual, repeatable)
+            result = self._exchange(order, started)
             self.watch.note(replica, result.reason, self.clock.now())
             return result
         except gevent.GreenletExit:
-            now = self.clock.now()
-            self.replicas.silent(replica, now, now - started, usual.seconds)
+            self._note_silent(order, started)
             raise
         finally:
-            replica.ended(send.token)
+            replica.ended(token)
 
-    def _exchange(
-        self,
-        send: PartSend,
-        text: RequestText,
-        method: str,
-        request_id: str,
-        end_at: float,
-        usual: UsualTime,
-        repeatable: bool,
-    ) -> SendResult:
-        replica = send.replica
-        started = self.clock.now()
-        request = text.encode(replica.upstream_id, end_at - started)
-        fresh_s = const.IDLE_MOST_S if repeatable else const.IDLE_FRESH_S
-        timeout = gevent.Timeout(max(0.001, end_at - started))
+    def _exchange(self, order: SendOrder, started: float) -> SendResult:
+        send, replica = order.send, order.send.replica
+        left_s = order.end_at - started
+        request = order.text.encode(replica.upstream_id, left_s)
+        fresh_s = const.IDLE_MOST_S if order.repeatable else const.IDLE_FRESH_S
+        timeout = gevent.Timeout(max(0.001, left_s))
         try:
             with timeout:
-                reply = self.pool(replica).exchange(method, request, fresh_s)
+                reply = self.pool(replica).exchange(order.request.method, request, fresh_s)
         except SendError as err:
             self._note_error(replica, err)
             return SendResult(send, None, None, err.unsent, str(err))
         except gevent.Timeout as err:
             if err is not timeout:
                 raise
-            now = self.clock.now()
-            self.replicas.silent(replica, now, now - started, usual.seconds)
+            self._note_silent(order, started)
             return SendResult(send, None, None, False, "no answer in time", late=True)
-        return self._judged(send, reply, request_id, started, usual)
+        return self._judged(order, reply, started)
 
-    def _judged(
-        self, send: PartSend, reply: RawReply, request_id: str, started: float, usual: UsualTime
-    ) -> SendResult:
+    def _judged(self, order: SendOrder, reply: RawReply, started: float) -> SendResult:
         now = self.clock.now()
-        replica = send.replica
-        meaning = judge_reply(reply, request_id, self.names)
+        replica = order.send.replica
+        meaning = judge_reply(reply, order.request.request_id, self.names)
         load = reported_load(reply, self.names)
         if load is not None and meaning is not ReplyMeaning.FOREIGN:
             replica.load_reported(now, *load)
         if meaning is ReplyMeaning.GOOD:
-            self.replicas.answered(replica, now, now - started, usual.seconds)
+            self.replicas.answered(replica, now, now - started, order.usual.seconds)
         elif meaning is ReplyMeaning.MISPLACED:
             replica.misplaced(now)
         else:
             replica.failed(now)
-        return SendResult(send, reply, meaning, False, f"{meaning.value} {reply.status}")
+        return SendResult(order.send, reply, meaning, False, f"{meaning.value} {reply.status}")
+
+    def _note_silent(self, order: SendOrder, started: float) -> None:
+        now = self.clock.now()
+        self.replicas.silent(order.send.replica, now, now - started, order.usual.seconds)
 
     def _note_error(self, replica: Replica, err: SendError) -> None:
         if err.busy:
--- a/packages/daemon/src/spindle_daemon/components/routed/spread_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/spread_runner.py
@@ -88,7 +88,6 @@
 
     def _question(self, ask: SpreadAsk) -> SpreadQuestion:
         now = self.clock.now()
-        request = self.request
         return SpreadQuestion(
             seq=0,
             reply_to=self.desk.spindle.settings.mesh.advertise,
@@ -99,13 +98,7 @@
             aim_ms=self.route.aim_ms,
             aim_left_ms=max(1, int((self.spread.aim_at - now) * MS_PER_S)),
             left_ms=max(1, int((self.spread.end_at - now) * MS_PER_S)),
-            method=request.method,
-            target=request.target,
-            host=request.host,
-            headers=request.headers,
-            body=request.body,
-            has_body=request.has_body,
-            request_id=request.request_id,
+            request=self.request.sent,
         )
 
     def _answer(self) -> RoutedAnswer:
@@ -121,7 +114,9 @@
             )
             names = self.desk.sender.names
             missing = shards - spread.answered
-            return gathered_answer(names, self.request.request_id, signatures, missing, records)
+            return gathered_answer(
+                names, self.request.sent.request_id, signatures, missing, records
+            )
         if end.reason == "deadline":
             raise DeadlineExceededError("too few shards answered in time")
         raise PartsFailedError("too few shards answered")
--- a/packages/decisions/src/spindle_decisions/fleet/fleet_table.py
+++ b/packages/decisions/src/spindle_decisions/fleet/fleet_table.py
@@ -77,11 +77,3 @@
             for name, at in self.direct_at.items()
             if now - at <= within_s and name in self.instances
         )
-
-    def report(self, now: float, role: str | None = None) -> tuple[HeardInstance, ...]:
-        """Return all processes, or those of a role, as they are told to others."""
-        return tuple(
-            HeardInstance(instance, max(0, int((now - self.heard_at[name]) * MS_PER_S)))
-            for name, instance in self.instances.items()
-            if role is None or instance.role == role
-        )
--- a/packages/decisions/src/spindle_decisions/routing/repeat_budget.py
+++ b/packages/decisions/src/spindle_decisions/routing/repeat_budget.py
@@ -41,13 +41,6 @@
         self.repeats += 1
         return True
 
-    def give_back(self, now: float) -> None:
-        """Take back a repeat that was never sent."""
-        bucket = self._bucket(now)
-        if bucket[2]:
-            bucket[2] -= 1
-            self.repeats -= 1
-
     def _bucket(self, now: float) -> list[int]:
         number = int(now / self.bucket_s)
         if not self.buckets or self.buckets[-1][0] != number:
--- a/packages/decisions/src/spindle_decisions/routing/replica.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica.py
@@ -27,7 +27,6 @@
         self.reported = 0
         self.reported_at = -const.LOAD_FRESH_S
         self.warm_at = 0.0
-        self.answered_at = -1.0
 
     @property
     def upstream_id(self) -> str:
@@ -63,7 +62,6 @@
         self.failing_at = now
         self.failures_in_row = 0
         self.cut_until = 0.0
-        self.answered_at = now
 
     def overtaken(self, now: float, waited_s: float, usual_s: float) -> None:
         """Take in that a request waited for so long and is not waited for any more."""
--- a/packages/decisions/src/spindle_decisions/routing/replica_book.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica_book.py
@@ -121,10 +121,6 @@
             most = bounds.get(item.listed.service, instances) * const.CONNECTION_PART
             item.connection_share = max(1, int(most / max(1, instances)))
 
-    def known(self, service: str) -> bool:
-        """Return whether any upstream of the service may be used."""
-        return any(item.usable() for item in self.by_service.get(service, ()))
-
 
 def _moved(old: ListedUpstream, new: ListedUpstream) -> bool:
     return (old.service, old.host, old.port) != (new.service, new.host, new.port)
--- a/packages/decisions/src/spindle_decisions/wire/spread_question.py
+++ b/packages/decisions/src/spindle_decisions/wire/spread_question.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from spindle_decisions.wire.caller_request import CallerRequest
+
 
 class SpreadQuestion(msgspec.Struct, frozen=True, tag="spread-question"):
     """A request of a caller, as it was sent, for the shards that are named.
@@ -19,10 +21,4 @@
     aim_ms: int
     aim_left_ms: int
     left_ms: int
-    method: str
-    target: str
-    host: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    has_body: bool
-    request_id: str
+    request: CallerRequest
--- a/tests/decisions/fleet/test_fleet.py
+++ b/tests/decisions/fleet/test_fleet.py
@@ -76,7 +76,7 @@
         table = FleetTable()
         table.heard(NOW, control(1))
         self.assertEqual(table.expire(NOW + const.FORGET_S + 1), [control(1)])
-        self.assertEqual(table.report(NOW), ())
+        self.assertEqual(table.instances, {})
 
 
 class TestListKeeper(unittest.TestCase):
--- a/tests/decisions/routing/test_repeat_budget.py
+++ b/tests/decisions/routing/test_repeat_budget.py
@@ -45,14 +45,6 @@
         self.assertFalse(budget.take(5.0, 1))
         self.assertTrue(budget.take(11.0, 1))
 
-    def test_what_was_never_sent_is_given_back(self) -> None:
-        budget = RepeatBudget(BOUNDS)
-        while budget.take(0.0, 1):
-            pass
-        budget.give_back(0.0)
-        self.assertTrue(budget.take(0.0, 1))
-        self.assertFalse(budget.take(0.0, 1))
-
     def test_right_after_a_start_only_the_ratio_may_be_used(self) -> None:
         made = ServingBook(HERE, BOUNDS, random.Random(1), sure_at=5.0)
         self.assertFalse(made.take_repeat("s0", 1.0))
