--- /dev/null
+++ b/tests/daemon/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fleet over fakes."""
--- /dev/null
+++ b/tests/daemon/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of helpers shared by components."""
