Drop a field, a constant and a result that nothing reads

Seen on a last read of the change: the question to an owner carried the route's aim, which the owner never used; a good part returned an empty list that nobody took. No behaviour changes.

--- a/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
@@ -74,7 +74,7 @@
             self.keeper,
             dialect.upstreams,
             lambda: self.patience_s,
-            lambda changed: self._on_read(changed),
+            self._on_read,
         )
         spindle.bus.listen(SettingsReloaded, self._on_settings)
         transport = spindle.transport
--- a/packages/daemon/src/spindle_daemon/components/routed/reply_judge.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/reply_judge.py
@@ -6,7 +6,6 @@
 from spindle_daemon.core.dialect import HeaderNames
 
 STATUS_MISDIRECTED = 421
-STATUS_FULL = 503
 
 
 class ReplyMeaning(enum.Enum):
--- a/packages/daemon/src/spindle_daemon/components/routed/spread_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/spread_runner.py
@@ -95,7 +95,6 @@
             top_records=self.route.top_records,
             route=self.route.name,
             max_attempts=self.route.max_attempts,
-            aim_ms=self.route.aim_ms,
             aim_left_ms=max(1, int((self.spread.aim_at - now) * MS_PER_S)),
             left_ms=max(1, int((self.spread.end_at - now) * MS_PER_S)),
             request=self.request.sent,
--- a/packages/decisions/src/spindle_decisions/routing/gather.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather.py
@@ -19,7 +19,7 @@
 
         gather = Gather(route, book, now, limit_s)
         sends = gather.start(now)
-        sends += gather.part(token, part, now)
+        gather.part(token, part, now)
         if gather.end is not None: ...
     """
 
@@ -47,7 +47,7 @@
         self._judge(now)
         return [send for send in sends if send is not None]
 
-    def part(self, token: int, part: object, now: float) -> list[PartSend]:
+    def part(self, token: int, part: object, now: float) -> None:
         """Take in a good part."""
         send = self.sends.pop(token)
         shard = self.shards[send.shard]
@@ -57,7 +57,6 @@
             self.missing -= 1
             self.usual.add(now - sent_at)
         self._judge(now)
-        return []
 
     def failure(self, token: int, now: float, unsent: bool = False) -> list[PartSend]:
         """Take in a send that brought no part; return what goes out instead, if anything.
--- a/packages/decisions/src/spindle_decisions/wire/spread_question.py
+++ b/packages/decisions/src/spindle_decisions/wire/spread_question.py
@@ -18,7 +18,6 @@
     top_records: int
     route: str
     max_attempts: int
-    aim_ms: int
     aim_left_ms: int
     left_ms: int
     request: CallerRequest
