--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet of real processes on loopback addresses."""
--- /dev/null
+++ b/tests/fleet/loopback_fleet.py
@@ -0,0 +1,122 @@
+"""Real processes of a fleet, each on a loopback address of its own."""
+
+import json
+import pathlib
+import random
+import time
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import gevent
+from bench.ports import free_ports
+from bench.process import Process
+from geventhttpclient import HTTPClient
+
+from tests.platform.template import render
+from tests.platform.test_settings import FIELDS
+from tests.platform.test_upstream_source import Platform
+
+POLL_S = 0.05
+ValueT = TypeVar("ValueT")
+
+
+class LoopbackFleet:
+    """Control instances named `core-N` and entry instances named `front-N`.
+
+    `module` is what each process runs; `platform_port` is where it reads the list of
+    upstreams.
+    """
+
+    def __init__(self, folder: pathlib.Path, module: str = "start") -> None:
+        self.folder = folder
+        self.module = module
+        # The metrics port is the same for all, so each fleet has addresses of its own.
+        self.network = random.SystemRandom().randrange(1, 255)
+        self.mesh, self.operator, self.front, self.ready = free_ports(4)
+        self.platform = Platform()
+        self.platform_port = int(self.platform.server.server_port)
+        self.processes: dict[str, Process] = {}
+
+    def close(self) -> None:
+        """End all processes and the stand-in of the platform."""
+        for process in self.processes.values():
+            process.wake()
+            process.kill()
+        self.platform.server.stop()
+
+    def ip(self, name: str) -> str:
+        """Return the loopback address of a process."""
+        kind, number = name.split("-")
+        return f"127.{self.network}.{1 if kind == 'core' else 2}.{number}"
+
+    def write_settings(self, name: str, founding: bool, seeds: tuple[int, ...] = (1, 2, 3)) -> None:
+        """Write the settings file of a process as the platform would."""
+        ip = self.ip(name)
+        control = name.startswith("core")
+        fields: dict[str, Any] = {
+            **FIELDS,
+            "nodeName": name,
+            "role": "control" if control else "entry",
+            "ip": ip,
+            "internalPortRange": [self.mesh, self.mesh],
+            "seeds": [f"127.{self.network}.1.{number}:{self.operator}" for number in seeds],
+            "bootstrap": founding,
+            "provider": {"address": f"127.0.0.1:{self.platform_port}"},
+            "listen": {"front": f"{ip}:{self.front}", "ready": f"{ip}:{self.ready}"},
+        }
+        if control:
+            fields["listen"] = {"control": f"{ip}:{self.operator}"}
+            fields["dataDir"] = str(self.folder / name)
+        (self.folder / f"{name}.ini").write_text(render(fields))
+
+    def start(self, *names: str, founding: bool = True) -> None:
+        """Start processes with settings written anew."""
+        for name in names:
+            path = self.folder / f"{name}.ini"
+            self.write_settings(name, founding)
+            environment = {"DAMASKSPINDLE_BOOT": str(path)}
+            log = self.folder / f"{name}.log"
+            self.processes[name] = Process(name, self.module, [], log, environment)
+            self.processes[name].start()
+
+    def events(self, name: str, event: str) -> list[dict[str, Any]]:
+        """Return the log lines of an event of a process."""
+        lines = (self.folder / f"{name}.log").read_text(errors="replace").splitlines()
+        rows = [json.loads(line) for line in lines if line.startswith("{")]
+        return [row for row in rows if row.get("event") == event]
+
+    def call(
+        self, method: str, ip: str, port: int, path: str, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        """Call an endpoint; status 0 means that there was no answer."""
+        client = HTTPClient(ip, port, connection_timeout=2.0, network_timeout=2.0)
+        try:
+            response = client.request(method, path, body)
+            return response.status_code, bytes(response.read())
+        except (OSError, ValueError):
+            return 0, b""
+        finally:
+            client.close()
+
+    def replace(self, name: str, document: bytes) -> int:
+        """Send a plan to a control instance."""
+        return self.call("POST", self.ip(name), self.operator, "/api/Config.Replace", document)[0]
+
+    def read(self, name: str) -> tuple[int, bytes]:
+        """Read the plan at a control instance."""
+        return self.call("GET", self.ip(name), self.operator, "/api/Config.Get")
+
+    def is_ready(self, name: str) -> bool:
+        """Return whether an entry instance wants new connections."""
+        return self.call("GET", self.ip(name), self.ready, "/api/ready")[0] == 200
+
+
+def wait_until(what: str, check: Callable[[], ValueT], timeout_s: float = 20.0) -> ValueT:
+    """Return the first result of `check` that is true; fail after a while."""
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        result = check()
+        if result:
+            return result
+        gevent.sleep(POLL_S)
+    raise AssertionError(f"never came: {what}")
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -3,6 +3,7 @@
 import shutil
 import signal
 
+from tests.fleet.loopback_fleet import wait_until
 from tests.integration.fleet_case import FleetCase, document
 
 CONTROLS = ("core-1", "core-2", "core-3")
@@ -11,27 +12,27 @@
 class TestFleet(FleetCase):
     def setUp(self) -> None:
         super().setUp()
-        self.start(*CONTROLS)
-        self.until("the first plan", lambda: self.replace("core-1", document(4)) == 200)
+        self.fleet.start(*CONTROLS)
+        wait_until("the first plan", lambda: self.fleet.replace("core-1", document(4)) == 200)
 
     def in_force(self, name: str, version: int) -> bool:
-        return any(row["version"] == version for row in self.events(name, "plan"))
+        return any(row["version"] == version for row in self.fleet.events(name, "plan"))
 
     def leader(self) -> str:
         def newest() -> str:
             rows = [
                 (row["term"], name)
                 for name in CONTROLS
-                for row in self.events(name, "leader-elected")
+                for row in self.fleet.events(name, "leader-elected")
                 if row["peer"] == name
             ]
             return max(rows)[1] if rows else ""
 
-        return self.until("a leader", newest)
+        return wait_until("a leader", newest)
 
     def test_a_request_finds_its_way(self) -> None:
-        self.start("front-1")
-        self.until("ready", lambda: self.is_ready("front-1"))
+        self.fleet.start("front-1")
+        wait_until("ready", lambda: self.fleet.is_ready("front-1"))
         answer = self.ask("front-1", "/a/%41?b=c")
         self.assertEqual((answer.status, answer.body), (200, b"GET /a/%41?b=c HTTP/1.1"))
         self.assertEqual(self.ask("front-1", "/nowhere/").status, 404)
@@ -47,63 +48,63 @@
             ("cut short", document(13)[:-5], 400),
         )
         for name, sent, status in cases:
-            self.assertEqual(self.replace("core-2", sent), status, name)
+            self.assertEqual(self.fleet.replace("core-2", sent), status, name)
         for control in CONTROLS:
-            self.assertEqual(self.read(control), (200, newer), control)
+            self.assertEqual(self.fleet.read(control), (200, newer), control)
 
     def test_a_plan_survives_the_leader_and_everything(self) -> None:
-        self.start("front-1")
-        self.until("plan 4", lambda: self.in_force("front-1", 4))
+        self.fleet.start("front-1")
+        wait_until("plan 4", lambda: self.in_force("front-1", 4))
         lost = self.leader()
         others = [name for name in CONTROLS if name != lost]
-        self.processes[lost].kill()
-        self.until("plan 6", lambda: self.replace(others[0], document(6, "/b/")) == 200)
-        self.until("plan 6 at the entry", lambda: self.in_force("front-1", 6))
-        for process in self.processes.values():
+        self.fleet.processes[lost].kill()
+        wait_until("plan 6", lambda: self.fleet.replace(others[0], document(6, "/b/")) == 200)
+        wait_until("plan 6 at the entry", lambda: self.in_force("front-1", 6))
+        for process in self.fleet.processes.values():
             process.kill()
-        self.start(*CONTROLS, "front-1", founding=False)
-        self.until("ready", lambda: self.is_ready("front-1"))
+        self.fleet.start(*CONTROLS, "front-1", founding=False)
+        wait_until("ready", lambda: self.fleet.is_ready("front-1"))
         self.assertEqual(self.ask("front-1", "/b/1").status, 200)
         self.assertEqual(self.ask("front-1", "/a/1").status, 404)
-        self.assertEqual(self.read(lost), (200, document(6, "/b/")))
-        versions = [row["version"] for row in self.events("front-1", "plan")]
+        self.assertEqual(self.fleet.read(lost), (200, document(6, "/b/")))
+        versions = [row["version"] for row in self.fleet.events("front-1", "plan")]
         self.assertEqual(versions[-1], 6)
 
     def test_an_emptied_and_a_new_instance_are_taken_in(self) -> None:
         lost = next(name for name in CONTROLS if name != self.leader())
-        self.processes[lost].kill()
-        shutil.rmtree(self.folder / lost)
-        self.start(lost, "core-4", founding=False)
+        self.fleet.processes[lost].kill()
+        shutil.rmtree(self.fleet.folder / lost)
+        self.fleet.start(lost, "core-4", founding=False)
         for name in (lost, "core-4"):
-            self.until(f"plan at {name}", lambda name=name: self.read(name) == (200, document(4)))
+            wait_until(f"plan at {name}", lambda name=name: self.fleet.read(name) == (200, document(4)))
 
     def test_without_a_majority_nothing_is_said_to_be_sure(self) -> None:
-        self.start("front-1")
-        self.until("ready", lambda: self.is_ready("front-1"))
+        self.fleet.start("front-1")
+        wait_until("ready", lambda: self.fleet.is_ready("front-1"))
         for name in CONTROLS[1:]:
-            self.processes[name].kill()
-        self.assertNotEqual(self.replace("core-1", document(7)), 200)
-        self.assertNotEqual(self.read("core-1")[0], 200)
+            self.fleet.processes[name].kill()
+        self.assertNotEqual(self.fleet.replace("core-1", document(7)), 200)
+        self.assertNotEqual(self.fleet.read("core-1")[0], 200)
         self.assertEqual(self.ask("front-1").status, 200)
 
     def test_changed_settings_end_nothing(self) -> None:
-        self.start("front-1")
-        self.until("ready", lambda: self.is_ready("front-1"))
+        self.fleet.start("front-1")
+        wait_until("ready", lambda: self.fleet.is_ready("front-1"))
         for name in ("front-1", "core-1"):
-            self.write_settings(name, False, (3, 2))
-            self.processes[name].send_signal(signal.SIGHUP)
-            self.until("a reload", lambda name=name: self.events(name, "reload"))
-        (self.folder / "front-1.ini").write_text("nonsense")
-        self.until("a warning", lambda: self.events("front-1", "bad-settings"))
+            self.fleet.write_settings(name, False, (3, 2))
+            self.fleet.processes[name].send_signal(signal.SIGHUP)
+            wait_until("a reload", lambda name=name: self.fleet.events(name, "reload"))
+        (self.fleet.folder / "front-1.ini").write_text("nonsense")
+        wait_until("a warning", lambda: self.fleet.events("front-1", "bad-settings"))
         self.assertEqual(self.ask("front-1").status, 200)
 
     def test_a_planned_stop_cuts_nothing(self) -> None:
-        self.start("front-1")
-        self.until("ready", lambda: self.is_ready("front-1"))
-        self.processes["front-1"].terminate()
-        self.until("unready", lambda: not self.is_ready("front-1"))
+        self.fleet.start("front-1")
+        wait_until("ready", lambda: self.fleet.is_ready("front-1"))
+        self.fleet.processes["front-1"].terminate()
+        wait_until("unready", lambda: not self.fleet.is_ready("front-1"))
         statuses: dict[str, int] = {}
-        while self.processes["front-1"].running:
+        while self.fleet.processes["front-1"].running:
             target = f"/a/{len(statuses)}"
             answer = self.ask("front-1", target)
             statuses[target] = answer.status
@@ -112,7 +113,7 @@
                 self.assertEqual(answer.headers.get("connection"), "close")
         self.assertIn(200, statuses.values())
         self.assertLessEqual(set(statuses.values()), {200, 503, 0})
-        self.assertEqual(self.processes["front-1"].wait(1.0), 0)
+        self.assertEqual(self.fleet.processes["front-1"].wait(1.0), 0)
         run = {request.line.split()[1] for item in self.upstreams for request in item.requests}
         answered = {target for target, status in statuses.items() if status == 200}
         self.assertEqual(run, answered, "what was passed on was answered")
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The fault soak: a fleet of real processes under drawn faults, its promises checked throughout."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,66 @@
+"""Entry point of `python -m tests.soak`."""
+
+import logging
+import pathlib
+import shutil
+import sys
+import tempfile
+import time
+from collections import Counter
+from typing import Annotated
+
+import typer
+
+from tests.soak.ledger import Ledger
+from tests.soak.plan import FULL, SHORT
+from tests.soak.soak import Soak
+
+S_PER_MINUTE = 60.0
+SHORT_MINUTES = 0.0
+EXIT_BROKEN = 1
+
+
+def run_seed(seed: int, minutes: float, short: bool) -> Ledger:
+    """Run one seed; its folder stays where something broke."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"spindle-soak-{seed}-"))
+    soak = Soak(seed, folder, SHORT if short else FULL)
+    ledger = soak.run(time.monotonic() + minutes * S_PER_MINUTE)
+    checks, faults = ledger.checks.total(), ledger.faults.total()
+    typer.echo(f"seed {seed}: {faults} faults, {checks} checks, {len(ledger.broken)} broken")
+    for line in ledger.broken:
+        typer.echo(f"  {line}")
+    if ledger.broken:
+        typer.echo(f"  logs: {folder}")
+    else:
+        shutil.rmtree(folder)
+    return ledger
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="The first seed.")],
+    minutes: Annotated[float, typer.Option(help="Least time for each seed.")] = 1.0,
+    seeds: Annotated[int, typer.Option(help="How many seeds, one after the other.")] = 1,
+    short: Annotated[bool, typer.Option(help="One short episode for each seed.")] = False,
+    verbose: Annotated[bool, typer.Option(help="Log each fault.")] = False,
+) -> None:
+    """Play drawn faults against a fleet of real processes and check its promises throughout."""
+    logging.basicConfig(level=logging.INFO if verbose else logging.ERROR, stream=sys.stderr)
+    checks: Counter[str] = Counter()
+    faults: Counter[str] = Counter()
+    broken = 0
+    for number in range(seed, seed + seeds):
+        ledger = run_seed(number, SHORT_MINUTES if short else minutes, short)
+        checks += ledger.checks
+        faults += ledger.faults
+        broken += len(ledger.broken)
+    for promise, count in sorted(checks.items()):
+        typer.echo(f"{count:8} checks: {promise}")
+    typer.echo(
+        f"soak: {seeds} seeds, {faults.total()} faults, {checks.total()} checks, {broken} broken"
+    )
+    if broken:
+        raise typer.Exit(EXIT_BROKEN)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/tests/soak/const.py
@@ -0,0 +1,32 @@
+"""Sizes, times and bounds of the soak."""
+
+# The deployment: small enough for one machine, with a majority to lose.
+CONTROLS = ("core-1", "core-2", "core-3")
+ENTRIES = ("front-1", "front-2", "front-3")
+SHARDS = 4
+UPSTREAMS_PER_SERVICE = 2
+SLOTS = 8
+WORK_S = (0.002, 0.02)
+RECORDS = 12
+TOP = 8
+
+# Load in requests a second; each kind has its own clients.
+LOOKUPS_PER_S = 12.0
+ORDERS_PER_S = 8.0
+SEARCHES_PER_S = 8.0
+BURST = 60
+DEADLINE_MS = 1_500
+# A caller waits that much longer than it said, to see a late answer as well.
+LATE_S = 1.5
+
+
+# From docs/PROMISES.md and the platform's rules.
+RECOVER_S = 15.0
+IN_FORCE_S = 3.0
+DRAIN_S = 4.0
+STOP_S = 6.0
+QUIET_S = 5.0
+RESIDENT_BYTES = 200 * 1024 * 1024
+# A reading of a machine with other work may be late by so much.
+SLACK_S = 1.0
+HANG_S = 6.0
--- /dev/null
+++ b/tests/soak/document.py
@@ -0,0 +1,41 @@
+"""The configurations of the soak."""
+
+import json
+
+from tests.platform.test_plan_codec import DOCUMENT, GATHER, LOOKUP, SERVICE
+from tests.soak import const
+
+HOST = "one.example"
+DESK = "desk"
+SHARDS = tuple(f"shard-{number}" for number in range(const.SHARDS))
+SERVICES = (DESK, *SHARDS)
+LOOKUP_PREFIX = "/lookup/"
+ORDER_PREFIX = "/order/"
+SEARCH_PREFIX = "/search/"
+
+
+def marker(version: int) -> str:
+    """Return the prefix of the route that only one version has."""
+    return f"/only-{version}/"
+
+
+def document(version: int) -> bytes:
+    """Return a configuration: the standing routes and the marker of its version."""
+    lookup = {**LOOKUP, "service": DESK}
+    routes = [
+        {**lookup, "name": "lookup", "pathPrefix": LOOKUP_PREFIX},
+        {**lookup, "name": "order", "pathPrefix": ORDER_PREFIX, "kind": "non_idempotent"},
+        {**lookup, "name": "marker", "pathPrefix": marker(version)},
+        {
+            **GATHER,
+            "name": "search",
+            "pathPrefix": SEARCH_PREFIX,
+            "gather": list(SHARDS),
+            "topK": const.TOP,
+            "minShare": 0.5,
+        },
+    ]
+    services = [{"name": name, **SERVICE} for name in SERVICES]
+    return json.dumps(
+        {**DOCUMENT, "version": version, "routes": routes, "services": services}
+    ).encode()
--- /dev/null
+++ b/tests/soak/ledger.py
@@ -0,0 +1,31 @@
+"""What was checked and what was found broken."""
+
+import logging
+import time
+from collections import Counter
+
+_LOGGER = logging.getLogger(__name__)
+MAX_SHOWN = 300
+
+
+class Ledger:
+    """Counts checks by promise and keeps each broken one, with the time since the start."""
+
+    def __init__(self) -> None:
+        self.started = time.monotonic()
+        self.checks: Counter[str] = Counter()
+        self.faults: Counter[str] = Counter()
+        self.broken: list[str] = []
+
+    def check(self, promise: str, holds: bool, what: object = "") -> None:
+        """Count a check; note what was seen where the promise does not hold."""
+        self.checks[promise] += 1
+        if not holds:
+            at = time.monotonic() - self.started
+            self.broken.append(f"{at:.2f} s: {promise}: {str(what)[:MAX_SHOWN]}")
+            _LOGGER.error("broken: %s", self.broken[-1])
+
+    def fault(self, kind: str, what: str) -> None:
+        """Count a fault and log it."""
+        self.faults[kind] += 1
+        _LOGGER.info("%.2f s: %s %s", time.monotonic() - self.started, kind, what)
--- /dev/null
+++ b/tests/soak/shard_records.py
@@ -0,0 +1,15 @@
+"""The records that the shards of the soak hold."""
+
+import hashlib
+
+from spindle_decisions.routing.records import RECORD_BYTES
+from tests.soak import const
+
+
+def shard_records(service: str, target: str) -> bytes:
+    """Return the records of a shard for a target, greatest first, the same each time."""
+    digests = (
+        hashlib.sha256(f"{service} {target} {number}".encode()).digest()[:RECORD_BYTES]
+        for number in range(const.RECORDS)
+    )
+    return b"".join(sorted(digests, reverse=True))
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,145 @@
+"""One seed of the soak: episodes of faults, each followed by quiet checks."""
+
+import logging
+import pathlib
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+
+from tests.fleet.loopback_fleet import wait_until
+from tests.soak import const
+from tests.soak.answer_check import AnswerCheck
+from tests.soak.budget_check import check_budget
+from tests.soak.callers import Callers
+from tests.soak.draw import draw_faults
+from tests.soak.faults import Faults
+from tests.soak.ledger import Ledger
+from tests.soak.operator import Operator
+from tests.soak.plan import Plan
+from tests.soak.process_watch import ProcessWatch
+from tests.soak.quiet import Quiet
+from tests.soak.stage import Stage
+
+_LOGGER = logging.getLogger(__name__)
+
+FOUNDING_S = 30.0
+POLL_S = 0.1
+STEADY_S = 3.0
+
+
+class Soak:
+    """Runs the fleet of one seed in a folder, which keeps its logs."""
+
+    def __init__(self, seed: int, folder: pathlib.Path, plan: Plan) -> None:
+        self.rng = random.Random(seed)
+        self.plan = plan
+        self.ledger = Ledger()
+        self.quiet = Quiet()
+        self.stage = Stage(folder, random.Random(f"stage {seed}"))
+        self.check = AnswerCheck(self.ledger, self.stage.runs)
+        self.operator = Operator(self.stage, self.ledger, random.Random(f"operator {seed}"))
+        self.callers = Callers(self.stage, self.ledger, self.quiet, self.check)
+        self.watch = ProcessWatch(self.stage, self.ledger)
+        self.faults = Faults(self.stage, self.ledger, self.quiet, self.watch, self.callers)
+
+    def run(self, until: float) -> Ledger:
+        """Play episodes until that monotonic time, at least one; return what was found."""
+        try:
+            self._found()
+            while True:
+                self._episode()
+                if self.ledger.broken or time.monotonic() >= until:
+                    return self.ledger
+        finally:
+            self.watch.stop()
+            self.operator.stop()
+            self.callers.stop()
+            self.stage.close()
+
+    def _found(self) -> None:
+        self.stage.start()
+        wait_until("the first acknowledgement", self.operator.change_once, FOUNDING_S)
+        for entry in const.ENTRIES:
+            wait_until(f"{entry} to be ready", lambda entry=entry: self._serves(entry), FOUNDING_S)
+        self.watch.start()
+        self.callers.start()
+        self.operator.start()
+
+    def _episode(self) -> None:
+        targets = {kind: known[0] for kind, known in self.faults.kinds.items()}
+        faults = draw_faults(self.rng, targets, self.plan)
+        gevent.joinall([gevent.spawn(self.faults.play, item) for item in faults], raise_error=True)
+        self.stage.restore()
+        self.faults.warps.clear()
+        ended = time.monotonic()
+        self._recovers(ended)
+        self._steady()
+        check_budget(self.stage, self.ledger)
+        self.check.finish()
+
+    def _recovers(self, ended: float) -> None:
+        """Everything serves again in time: all instances, the newest version, each route."""
+        self.operator.stop()
+        for name, probe in (
+            ("a change is acknowledged", self.operator.change_once),
+            ("every instance is ready", self._all_serve),
+            ("the newest version is in force", self._in_force),
+        ):
+            came = self._within(ended + const.RECOVER_S + const.SLACK_S, probe)
+            self.ledger.check(f"after the faults {name}", came, self._state())
+        _LOGGER.info("recovered %.1f s after the faults", time.monotonic() - ended)
+
+    def _steady(self) -> None:
+        """In quiet times every request is served and a change is in force in time."""
+        wait_s = self.quiet.last_end + const.RECOVER_S - time.monotonic()
+        gevent.sleep(max(0.0, min(wait_s, const.QUIET_S)))
+        self.callers.recent.clear()
+        draining = self._drain_one()
+        changed = self.operator.change_once()
+        self.ledger.check("a change is acknowledged in quiet times", changed)
+        came = self._within(time.monotonic() + const.IN_FORCE_S + const.SLACK_S, self._in_force)
+        self.ledger.check("a change is in force in time", came, self._state())
+        gevent.sleep(const.DRAIN_S - const.IN_FORCE_S + STEADY_S)
+        for outcome in self.callers.recent:
+            self.ledger.check("in quiet times all are served", outcome.served, outcome)
+        self._check_drained(draining)
+        self.operator.start()
+
+    def _drain_one(self) -> tuple[int, float]:
+        place = self.rng.choice(sorted(self.stage.upstreams))
+        self.stage.draining.add(self.stage.upstreams[place].name)
+        self.stage.list_upstreams()
+        return place, time.monotonic()
+
+    def _check_drained(self, draining: tuple[int, float]) -> None:
+        place, at = draining
+        upstream = self.stage.upstreams[place]
+        late = [item for item in upstream.arrivals if item[0] > at + const.DRAIN_S]
+        self.ledger.check("a draining upstream gets no work", not late, (upstream.name, late))
+        service = upstream.service
+        self.stage.retire(place)
+        self.stage.place(service, place)
+        self.stage.list_upstreams()
+
+    def _serves(self, entry: str) -> bool:
+        return self.stage.fleet.is_ready(entry)
+
+    def _all_serve(self) -> bool:
+        return all(map(self._serves, const.ENTRIES))
+
+    def _in_force(self) -> bool:
+        newest = self.operator.acknowledged
+        return all([self.operator.shows(entry, newest) for entry in const.ENTRIES])
+
+    def _within(self, deadline: float, probe: Callable[[], bool]) -> bool:
+        while not probe():
+            if time.monotonic() > deadline:
+                return False
+            gevent.sleep(POLL_S)
+        return True
+
+    def _state(self) -> dict[str, object]:
+        ready = {entry: self._serves(entry) for entry in const.ENTRIES}
+        return {"sent": self.operator.version, "acked": self.operator.acknowledged, **ready}
--- /dev/null
+++ b/tests/soak/warped_start.py
@@ -0,0 +1,88 @@
+"""The program of an instance, with clock, disk and links that misbehave on demand.
+
+A file beside the settings holds what is wrong now. Only calls of ours are wrapped:
+the clock, the file access, the probe of the disk, and sends to other instances.
+"""
+
+import errno
+import os
+import pathlib
+import sys
+import time
+
+import msgspec
+import start
+
+from spindle_daemon.core.clock import SystemClock
+from spindle_daemon.mesh.transport import Transport
+from spindle_daemon.storage import patient_open
+from spindle_daemon.storage.os_file_access import OsFileAccess
+from tests.soak.warp import WARP_SUFFIX, Warp
+
+READ_EVERY_S = 0.05
+
+
+class WarpFile:
+    """Reads the file of a process again when it has changed."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        self.path = path
+        self.read_at = 0.0
+        self.changed_ns = 0
+        self.warp = Warp()
+
+    def now(self) -> Warp:
+        """Return what is wrong now."""
+        if time.monotonic() - self.read_at < READ_EVERY_S:
+            return self.warp
+        self.read_at = time.monotonic()
+        changed_ns = self.path.stat().st_mtime_ns if self.path.exists() else 0
+        if changed_ns != self.changed_ns:
+            self.changed_ns = changed_ns
+            self.warp = msgspec.json.decode(self.path.read_bytes(), type=Warp)
+        return self.warp
+
+    def use_disk(self) -> None:
+        """Fail or wait as the disk does now; raises `OSError` when it is full."""
+        if self.now().disk_full:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        if self.warp.disk_wait_s:
+            time.sleep(self.warp.disk_wait_s)
+
+
+def install(file: WarpFile) -> None:
+    """Wrap the calls."""
+    wall_ms, write, sync = SystemClock.wall_ms, OsFileAccess.write, OsFileAccess.sync
+    send, probe = Transport.send, patient_open.probe
+
+    def warped_wall_ms(clock: SystemClock) -> int:
+        return wall_ms(clock) + file.now().wall_offset_ms
+
+    def warped_write(access: OsFileAccess, fd: int, data: bytes, offset: int) -> None:
+        file.use_disk()
+        write(access, fd, data, offset)
+
+    def warped_sync(access: OsFileAccess, fd: int) -> None:
+        file.use_disk()
+        sync(access, fd)
+
+    def warped_probe(path: pathlib.Path) -> None:
+        file.use_disk()
+        probe(path)
+
+    def warped_send(transport: Transport, address: str, message: object) -> bool:
+        if any(muted in address for muted in file.now().mute):
+            return True
+        return send(transport, address, message)  # type: ignore[arg-type]
+
+    SystemClock.wall_ms = warped_wall_ms  # type: ignore[method-assign]
+    OsFileAccess.write = warped_write  # type: ignore[method-assign]
+    OsFileAccess.sync = warped_sync  # type: ignore[method-assign]
+    patient_open.probe = warped_probe
+    Transport.send = warped_send  # type: ignore[assignment,method-assign]
+
+
+if __name__ == "__main__":
+    settings = pathlib.Path(os.environ[start.SETTINGS_VARIABLE])
+    install(WarpFile(settings.with_suffix(WARP_SUFFIX)))
+    sys.exit(start.main())
