--- a/packages/decisions/src/spindle_decisions/exceptions.py
+++ b/packages/decisions/src/spindle_decisions/exceptions.py
@@ -1,17 +1,27 @@
 """The error tree: every error carries a stable code for callers, operators and logs."""
 
 
+# What an error says of its input is no longer than this, in characters.
+MAX_TEXT = 400
+MAX_END = 80
+
+
 class SpindleError(Exception):
     """Base of all errors of the system.
 
     `code` is stable across releases and appears in HTTP answers, in logs and in
     the output of the command line. `http_status` is the status an HTTP endpoint
-    answers with when the error reaches it.
+    answers with when the error reaches it. Its text is bounded, whatever input it
+    quotes.
     """
 
     code = "internal"
     http_status = 500
 
+    def __str__(self) -> str:
+        """Return the text; of a long one its beginning and its end."""
+        return shortened(super().__str__())
+
 
 class SettingsError(SpindleError):
     """A settings file is wrong; the text names section, key, value and what is allowed."""
@@ -230,3 +240,12 @@
         self.code = code
         self.http_status = http_status
         self.winner_digest = winner_digest
+
+
+def shortened(text: str) -> str:
+    """Return a text that is no longer than `MAX_TEXT` and says what was left out."""
+    if len(text) <= MAX_TEXT:
+        return text
+    note = f" ... {len(text) - MAX_TEXT} characters left out ... "
+    start = MAX_TEXT - MAX_END - len(note)
+    return text[:start] + note + text[-MAX_END:]
--- /dev/null
+++ b/tests/decisions/test_exceptions.py
@@ -0,0 +1,24 @@
+"""The texts of errors."""
+
+import unittest
+
+from nose2.tools import params
+
+from spindle_decisions.exceptions import MAX_TEXT, SettingsError, SpindleError, shortened
+
+
+class TestTexts(unittest.TestCase):
+    @params("", "[mesh] listen = nowhere: allowed: tcp://IP:PORT", "x" * MAX_TEXT)
+    def test_a_short_text_stays(self, text: str) -> None:
+        self.assertEqual(str(SpindleError(text)), text)
+
+    def test_a_long_text_keeps_both_ends(self) -> None:
+        text = str(SettingsError("[mesh] listen = " + "x" * 10_000_000 + ": allowed: tcp://IP:PORT"))
+        self.assertLessEqual(len(text), MAX_TEXT)
+        self.assertTrue(text.startswith("[mesh] listen = xxx"))
+        self.assertTrue(text.endswith("xxx: allowed: tcp://IP:PORT"))
+        self.assertIn("characters left out", text)
+
+    @params(401, 500, 10_000)
+    def test_every_length(self, length: int) -> None:
+        self.assertLessEqual(len(shortened("x" * length)), MAX_TEXT)
--- a/tests/fleet/loopback_fleet.py
+++ b/tests/fleet/loopback_fleet.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import random
+import signal
 import time
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -17,6 +18,8 @@
 from tests.platform.test_upstream_source import Platform
 
 POLL_S = 0.05
+# A killed process is gone at once, but for a machine that is short of everything.
+ENDED_S = 60.0
 ValueT = TypeVar("ValueT")
 
 
@@ -40,9 +43,10 @@
     def close(self) -> None:
         """End all processes and the stand-in of the platform."""
         for process in self.processes.values():
-            process.wake()
-            process.kill()
+            process.send_signal(signal.SIGKILL)
         self.platform.server.stop()
+        for process in self.processes.values():
+            process.wait(ENDED_S)
 
     def ip(self, name: str) -> str:
         """Return the loopback address of a process."""
