--- a/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
@@ -27,7 +27,6 @@
 from spindle_decisions.fleet.instances_digest import instances_digest
 from spindle_decisions.fleet.list_keeper import ListKeeper
 from spindle_decisions.fleet.list_turn import read_after_s
-from spindle_decisions.fleet.owner_places import OwnerPlaces
 from spindle_decisions.util.units import MS_PER_S
 from spindle_decisions.wire.control_beat import ControlBeat
 from spindle_decisions.wire.entry_beat import EntryBeat
@@ -60,7 +59,6 @@
         self.me = fleet_instance(spindle)
         self.table = FleetTable()
         self.keeper = ListKeeper()
-        self.places = OwnerPlaces()
         self.founding = Founding(
             self.me.address, self.me.name, folder_id, fleet.seeds if fleet.founding else ()
         )
@@ -195,10 +193,11 @@
         return tuple(HeardInstance(item, 0) for item in controls)
 
     def _peers(self, now: float, beat: EntryBeat) -> tuple[FleetInstance, ...] | None:
-        entries = self.table.lately(now, const.ROLE_ENTRY, const.PEER_S)
-        self.places.take(self.keeper.held)
-        place = self.places.choose(beat.instance, {item.data_center for item in entries})
-        peers = tuple(item for item in entries if item.data_center == place)
+        peers = tuple(
+            item
+            for item in self.table.lately(now, const.ROLE_ENTRY, const.PEER_S)
+            if item.data_center == beat.instance.data_center
+        )
         return None if instances_digest(peers) == beat.peers_digest else peers
 
     def _on_list(self, _sender: str, push: ListPush) -> None:
--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -96,9 +96,8 @@
         record.beliefs = self._beliefs()
         if not self.book.admit(route, self.spindle.clock.now()):
             raise OverloadedError("too few upstreams can be reached")
-        peers = self.owners.usable(self.desk.peers) if self.book.crowded else ()
-        if route.shards and len(peers) > 1:
-            spread = SpreadRunner(self.owners, peers, route, request, record)
+        if route.shards and self.book.crowded and len(self.desk.peers) > 1:
+            spread = SpreadRunner(self.owners, self.desk.peers, route, request, record)
             return watched(spread.run, caller, spread.caller_left)
         crew = SendCrew(self.spindle.clock, self.sender, request, record)
         runner_type = GatherRunner if route.shards else SingleRunner
--- a/packages/daemon/src/spindle_daemon/components/routed/spread_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/spread_runner.py
@@ -40,7 +40,7 @@
         self.record = record
         now = self.clock.now()
         limit_s = time_left_s(request, route, now)
-        self.spread = Spread(route, peers, now, limit_s)
+        self.spread = Spread(route, desk.usable(peers), now, limit_s)
         self.replies: deque[tuple[int, SpreadReply]] = deque()
         self.wake = Event()
         self.left = False
@@ -56,11 +56,11 @@
                 self._take(*self.replies.popleft())
             if spread.end is None:
                 spread.tick(self.clock.now())
-            if spread.unreachable():
-                self._note_silent()
         if self.left:
             return None
-        self._note_silent()
+        for ask in spread.out.values():
+            if ask.owner.name in spread.silent:
+                self.desk.note_silent(ask.owner.name)
         return self._answer()
 
     def caller_left(self) -> None:
@@ -68,10 +68,6 @@
         self.left = True
         self.wake.set()
 
-    def _note_silent(self) -> None:
-        for name in self.spread.take_silent():
-            self.desk.note_silent(name)
-
     def _ask(self, asks: list[SpreadAsk]) -> None:
         for ask in asks:
             self.desk.ask(ask.owner, self._question(ask), self._listener(ask.token))
--- a/packages/decisions/src/spindle_decisions/routing/serving_book.py
+++ b/packages/decisions/src/spindle_decisions/routing/serving_book.py
@@ -60,11 +60,7 @@
 
     def owners(self) -> int:
         """Return how many instances share the upstreams of a shard that has owners."""
-        places = {
-            item.listed.data_center
-            for item in self.replicas.replicas.values()
-            if item.listed.service in self.owned
-        }
+        places = {item.listed.data_center for item in self.replicas.replicas.values()}
         return const.OWNERS_EACH * max(1, len(places))
 
     def share_connections(self, bounds: dict[str, int], now: float) -> None:
--- a/packages/decisions/src/spindle_decisions/routing/spread.py
+++ b/packages/decisions/src/spindle_decisions/routing/spread.py
@@ -58,20 +58,6 @@
             self.silent = {ask.owner.name for ask in self.out.values()}
         self._judge(now)
 
-    def unreachable(self) -> bool:
-        """Return whether no owner at all has answered in time.
-
-        Then not an upstream is slow but the way to the owners is cut, and the next
-        request has to know it before this one ends.
-        """
-        return bool(self.silent) and not self.parts
-
-    def take_silent(self) -> list[str]:
-        """Return the owners that were silent and still are, each of them once."""
-        taken = [ask.owner.name for ask in self.out.values() if ask.owner.name in self.silent]
-        self.silent.difference_update(taken)
-        return taken
-
     def wake_at(self) -> float:
         """Return the time of the next `tick`."""
         waits = [self.end_at]
--- a/packages/decisions/src/spindle_decisions/wire/entry_beat.py
+++ b/packages/decisions/src/spindle_decisions/wire/entry_beat.py
@@ -8,7 +8,7 @@
 class EntryBeat(msgspec.Struct, frozen=True, tag="entry-beat"):
     """Who beats and what it holds; `primary` asks for news without being asked again.
 
-    `peers_digest` names the entry instances that it takes for owners of shards, and
+    `peers_digest` names the entry instances of its data centre that it knows of, and
     `controls_digest` the control instances that the receiver told it last.
     """
 
