--- a/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
@@ -24,6 +24,7 @@
 from spindle_decisions.fleet import const
 from spindle_decisions.fleet.fleet_table import FleetTable
 from spindle_decisions.fleet.founding import Founding
+from spindle_decisions.fleet.heard_sets import HeardSets
 from spindle_decisions.fleet.instances_digest import instances_digest
 from spindle_decisions.fleet.list_keeper import ListKeeper
 from spindle_decisions.fleet.list_turn import read_after_s
@@ -58,6 +59,7 @@
         self.folder_id = folder_id
         self.me = fleet_instance(spindle)
         self.table = FleetTable()
+        self.heard_sets = HeardSets()
         self.keeper = ListKeeper()
         self.founding = Founding(
             self.me.address, self.me.name, folder_id, fleet.seeds if fleet.founding else ()
@@ -114,22 +116,29 @@
         self.driver.node.met(frozenset(item.name for item in others))
         self.hellos += 1
         full = self.hellos % HELLO_FULL_EVERY == 0 or not self._led()
-        hello = FleetHello(
-            self.me,
-            self.folder_id,
-            self.founding.is_seed,
-            self.table.told_here(now, const.SHARE_S) if full else (),
-            self.keeper.held.digest,
-            self._list_age_ms(now),
+        heard = self.table.told_here(now, const.SHARE_S) if full else ()
+        names = {item.address: item.name for item in others}
+        for address in sorted({*names, *self.fleet.seeds} - {self.me.address}):
+            self.spindle.transport.send(address, self._hello(names.get(address, ""), heard))
+
+    def _hello(self, receiver: str, heard: tuple[HeardInstance, ...]) -> FleetHello:
+        digest, whole, ages_ms = self.heard_sets.tell(receiver, heard)
+        return FleetHello(
+            instance=self.me,
+            folder_id=self.folder_id,
+            founding=self.founding.is_seed,
+            heard=whole,
+            list_digest=self.keeper.held.digest,
+            list_age_ms=self._list_age_ms(self.spindle.clock.now()),
+            heard_digest=digest if heard else "",
+            ages_ms=ages_ms,
+            holds=self.heard_sets.holds() if heard else {},
         )
-        addresses = {item.address for item in others} | set(self.fleet.seeds)
-        for address in sorted(addresses - {self.me.address}):
-            self.spindle.transport.send(address, hello)
 
     def _on_hello(self, _sender: str, hello: FleetHello) -> None:
         now = self.spindle.clock.now()
         self.table.heard(now, hello.instance)
-        for heard in hello.heard:
+        for heard in self.heard_sets.take(self.me.name, hello):
             if heard.instance.name != self.me.name:
                 self.table.told(now, heard)
         self._found(hello)
@@ -244,6 +253,7 @@
         for gone in self.table.expire(now):
             _LOGGER.info("fleet: %s forgotten", gone.name, extra={"event": "forgotten"})
             self.beats.pop(gone.name, None)
+            self.heard_sets.forget(gone.name)
             self.spindle.transport.forget(gone.address)
         for instance in self.table.instances.values():
             if self.table.age(now, instance.name) > const.REDIAL_S:
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -10,7 +10,7 @@
 FAILURE_WEIGHT = 0.3
 PACE_MOST = 20.0
 # An upstream of another data centre counts as this much slower.
-FAR_FACTOR = 1.25
+FAR_FACTOR = 1.6
 # A request that is out this many usual times shows an upstream that stands still.
 STUCK_FACTOR = 2.5
 # Consecutive failures after which an upstream is left out, and for how long.
--- a/packages/decisions/src/spindle_decisions/wire/fleet_hello.py
+++ b/packages/decisions/src/spindle_decisions/wire/fleet_hello.py
@@ -10,8 +10,12 @@
     """Sent to every control instance that is known, and to the seeds.
 
     `folder_id` names the data folder; `founding` says that the sender is a seed that
-    was started to found the deployment. `heard` has every process that was heard
-    lately. The list of upstreams is named by its digest and its age.
+    was started to found the deployment. The list of upstreams is named by its digest
+    and its age.
+
+    `heard` has every process that the sender heard lately, for a receiver that does
+    not hold the set of that digest yet; any other gets their ages only, in the order
+    of `heard`. `holds` tells whose sets the sender holds: digests by name.
     """
 
     instance: FleetInstance
@@ -20,3 +24,6 @@
     heard: tuple[HeardInstance, ...]
     list_digest: str = ""
     list_age_ms: int = 0
+    heard_digest: str = ""
+    ages_ms: tuple[int, ...] = ()
+    holds: dict[str, str] = {}
