--- a/packages/decisions/src/spindle_decisions/exceptions.py
+++ b/packages/decisions/src/spindle_decisions/exceptions.py
@@ -1,6 +1,5 @@
 """The error tree: every error carries a stable code for callers, operators and logs."""
 
-
 # What an error says of its input is no longer than this, in characters.
 MAX_TEXT = 400
 MAX_END = 80
--- a/tests/decisions/test_exceptions.py
+++ b/tests/decisions/test_exceptions.py
@@ -13,7 +13,9 @@
         self.assertEqual(str(SpindleError(text)), text)
 
     def test_a_long_text_keeps_both_ends(self) -> None:
-        text = str(SettingsError("[mesh] listen = " + "x" * 10_000_000 + ": allowed: tcp://IP:PORT"))
+        text = str(
+            SettingsError("[mesh] listen = " + "x" * 10_000_000 + ": allowed: tcp://IP:PORT")
+        )
         self.assertLessEqual(len(text), MAX_TEXT)
         self.assertTrue(text.startswith("[mesh] listen = xxx"))
         self.assertTrue(text.endswith("xxx: allowed: tcp://IP:PORT"))
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -76,7 +76,9 @@
         shutil.rmtree(self.fleet.folder / lost)
         self.fleet.start(lost, "core-4", founding=False)
         for name in (lost, "core-4"):
-            wait_until(f"plan at {name}", lambda name=name: self.fleet.read(name) == (200, document(4)))
+            wait_until(
+                f"plan at {name}", lambda name=name: self.fleet.read(name) == (200, document(4))
+            )
 
     def test_without_a_majority_nothing_is_said_to_be_sure(self) -> None:
         self.fleet.start("front-1")
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -18,6 +18,7 @@
 S_PER_MINUTE = 60.0
 SHORT_MINUTES = 0.0
 EXIT_BROKEN = 1
+FAILED_ONCE = pathlib.Path(__file__).with_name("seeds.txt")
 
 
 def run_seed(seed: int, minutes: float, short: bool) -> Ledger:
@@ -36,11 +37,20 @@
     return ledger
 
 
+def failed_once() -> list[int]:
+    """Return the seeds that failed once."""
+    lines = FAILED_ONCE.read_text(encoding="utf-8").splitlines()
+    return [int(line.split("|")[0]) for line in lines if not line.startswith("#")]
+
+
 def main(
-    seed: Annotated[int, typer.Option(help="The first seed.")],
+    seed: Annotated[int, typer.Option(help="The first seed.")] = 1,
     minutes: Annotated[float, typer.Option(help="Least time for each seed.")] = 1.0,
     seeds: Annotated[int, typer.Option(help="How many seeds, one after the other.")] = 1,
     short: Annotated[bool, typer.Option(help="One short episode for each seed.")] = False,
+    regressions: Annotated[
+        bool, typer.Option("--regressions", help="Play the seeds that failed once.")
+    ] = False,
     verbose: Annotated[bool, typer.Option(help="Log each fault.")] = False,
 ) -> None:
     """Play drawn faults against a fleet of real processes and check its promises throughout."""
@@ -48,16 +58,16 @@
     checks: Counter[str] = Counter()
     faults: Counter[str] = Counter()
     broken = 0
-    for number in range(seed, seed + seeds):
+    numbers = failed_once() if regressions else list(range(seed, seed + seeds))
+    for number in numbers:
         ledger = run_seed(number, SHORT_MINUTES if short else minutes, short)
         checks += ledger.checks
         faults += ledger.faults
         broken += len(ledger.broken)
     for promise, count in sorted(checks.items()):
         typer.echo(f"{count:8} checks: {promise}")
-    typer.echo(
-        f"soak: {seeds} seeds, {faults.total()} faults, {checks.total()} checks, {broken} broken"
-    )
+    played = f"{len(numbers)} seeds, {faults.total()} faults, {checks.total()} checks"
+    typer.echo(f"soak: {played}, {broken} broken")
     if broken:
         raise typer.Exit(EXIT_BROKEN)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -68,11 +68,9 @@
         self.operator.start()
 
     def _episode(self) -> None:
-        targets = {kind: known[0] for kind, known in self.faults.kinds.items()}
-        faults = draw_faults(self.rng, targets, self.plan)
+        faults = draw_faults(self.rng, self.faults.targets(), self.plan)
         gevent.joinall([gevent.spawn(self.faults.play, item) for item in faults], raise_error=True)
         self.stage.restore()
-        self.faults.warps.clear()
         ended = time.monotonic()
         self._recovers(ended)
         self._steady()
@@ -131,7 +129,7 @@
 
     def _in_force(self) -> bool:
         newest = self.operator.acknowledged
-        return all([self.operator.shows(entry, newest) for entry in const.ENTRIES])
+        return all(self.operator.shows(entry, newest) for entry in const.ENTRIES)
 
     def _within(self, deadline: float, probe: Callable[[], bool]) -> bool:
         while not probe():
--- /dev/null
+++ b/tests/soak/span.py
@@ -0,0 +1,7 @@
+"""The form of a fault: a generator that begins it, yields, and ends it."""
+
+from collections.abc import Callable, Iterator
+
+Span = Iterator[None]
+# What a fault may hit, and the fault itself, which gets one of these.
+Kind = tuple[tuple[str, ...], Callable[[str], Span]]
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -84,6 +84,14 @@
         self.draining.discard(gone.name)
         self.retired.append(gone)
 
+    def places(self, service: str) -> list[int]:
+        """Return the places of the upstreams of a service that are not draining."""
+        return [
+            place
+            for place, upstream in self.upstreams.items()
+            if upstream.service == service and upstream.name not in self.draining
+        ]
+
     def list_upstreams(self) -> None:
         """Have the platform list all upstreams."""
         entries = [
@@ -126,7 +134,8 @@
 
     def _start_proxy(self) -> None:
         sections = {"proxy": {"listen": f"{LOOPBACK}:{self.admin_port}"}}
-        ways = {str(place): pair for place, pair in enumerate(zip(self.near, self.behind))}
+        pairs = zip(self.near, self.behind, strict=True)
+        ways = {str(place): pair for place, pair in enumerate(pairs)}
         ways[LIST_LINK] = (self.list_port, int(self.fleet.platform.server.server_port))
         for name, (near, behind) in ways.items():
             sections[f"link {name}"] = {
--- a/tests/soak/upstream.py
+++ b/tests/soak/upstream.py
@@ -89,9 +89,7 @@
         request_id = request.headers.get(ID, "")
         good = mood in USABLE
         now = time.monotonic()
-        self.runs.append(
-            Run(request_id, request.line, self.service, self.name, now, stamp, good)
-        )
+        self.runs.append(Run(request_id, request.line, self.service, self.name, now, stamp, good))
         gevent.sleep(self.rng.uniform(*const.WORK_S) * (20 if mood == "slow" else 1))
         if mood == "hangs":
             gevent.sleep(const.HANG_S)
--- a/tests/soak/warped_start.py
+++ b/tests/soak/warped_start.py
@@ -11,8 +11,8 @@
 import time
 
 import msgspec
-import start
 
+import start
 from spindle_daemon.core.clock import SystemClock
 from spindle_daemon.mesh.transport import Transport
 from spindle_daemon.storage import patient_open
