Explain routed requests from their id: the time line tells what the log line says

spindlectl explain and timeline reach all instances of a fleet through any control instance, which lists them. Events are added with the line, so plain answers cost nothing more.

--- a/packages/daemon/src/spindle_daemon/components/control/operator_api.py
+++ b/packages/daemon/src/spindle_daemon/components/control/operator_api.py
@@ -6,6 +6,7 @@
 
 from spindle_daemon.components.admin.admin_app import AdminApp
 from spindle_daemon.components.admin.admin_request import AdminRequest
+from spindle_daemon.components.admin.const import PATH_INSTANCES
 from spindle_daemon.components.control.const import NOTE_TIMEOUT_S
 from spindle_daemon.components.control.instance_registry import InstanceRegistry
 from spindle_daemon.components.control.raft_driver import RaftDriver
@@ -52,7 +53,7 @@
         app.route("GET", "/v1/notes/*", self.show)
         app.route("GET", "/v1/status", self.status)
         app.route("GET", "/v1/members", self.members)
-        app.route("GET", "/v1/instances", self.instances)
+        app.route("GET", PATH_INSTANCES, self.instances)
         app.route("GET", "/v1/reports", self.reports)
         app.route("GET", "/v1/identity", self.identity)
         app.route("POST", "/v1/bootstrap", self.bootstrap)
--- a/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
@@ -1,6 +1,7 @@
 """The fleet as a control instance takes part in it."""
 
 import logging
+import urllib.parse
 
 import gevent
 
@@ -35,6 +36,7 @@
 from spindle_decisions.wire.fleet_instance import FleetInstance
 from spindle_decisions.wire.heard_instance import HeardInstance
 from spindle_decisions.wire.list_push import ListPush
+from spindle_decisions.wire.live_instance import LiveInstance
 from spindle_decisions.wire.plan_push import PlanPush
 
 _LOGGER = logging.getLogger(__name__)
@@ -91,6 +93,25 @@
         known = self.table.instances.get(name)
         return known.address if known else None
 
+    def live_instances(self) -> list[LiveInstance]:
+        """Return whom an operator may ask; all have their admin endpoint on the same port."""
+        now = self.spindle.clock.now()
+        port = self.spindle.settings.admin.port
+        return [
+            LiveInstance(
+                item.name,
+                item.incarnation,
+                item.data_center,
+                item.role,
+                item.address,
+                urllib.parse.urlsplit(item.address).hostname or "",
+                port,
+                leaving=False,
+            )
+            for role in (const.ROLE_CONTROL, const.ROLE_ENTRY)
+            for item in self.table.lately(now, role, const.SHARE_S)
+        ]
+
     def push_plan(self) -> None:
         """Send the plan in force to the entry instances that count on this one."""
         push = self._plan_push()
--- a/packages/daemon/src/spindle_daemon/components/routed/__init__.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/__init__.py
@@ -32,7 +32,7 @@
     coordinator = RoutedCoordinator(spindle, routed, dialect, desk)
     stats = RoutedStats()
     register_lazily(lambda: _collector(stats, coordinator))
-    log = RoutedLog(spindle.clock, stats)
+    log = RoutedLog(spindle.clock, stats, spindle.timeline)
     application = RoutedApplication(spindle, coordinator, dialect.headers, log)
     server = create_http_server(entry.listen, application, LimitsHandler)
     server.limits = _limits(CallerLimits(), entry.max_callers)
--- a/packages/daemon/src/spindle_daemon/components/routed/request_log.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/request_log.py
@@ -7,7 +7,9 @@
 from spindle_daemon.components.routed.line_rate import LineRate
 from spindle_daemon.components.routed.routed_stats import RoutedStats
 from spindle_daemon.components.routed.run_record import RunRecord
+from spindle_daemon.components.routed.timeline_story import note_story
 from spindle_daemon.core.clock import Clock
+from spindle_daemon.core.timeline_sink import TimelineSink
 from spindle_decisions.exceptions import SpindleError
 from spindle_decisions.routing.send_cause import FIRST
 from spindle_decisions.util.units import MS_PER_S
@@ -23,12 +25,14 @@
 class RoutedLog:
     """One line for each request that did not end plainly, and for a sample of the others.
 
-    Beyond a rate lines are left out, and a line says how many.
+    Beyond a rate lines are left out, and a line says how many. What has a line is on
+    the time line as well.
     """
 
-    def __init__(self, clock: Clock, stats: RoutedStats) -> None:
+    def __init__(self, clock: Clock, stats: RoutedStats, timeline: TimelineSink) -> None:
         self.clock = clock
         self.stats = stats
+        self.timeline = timeline
         self.rate = LineRate(const.LOG_LINES_PER_S)
         self.plain = 0
 
@@ -84,11 +88,12 @@
             _LOGGER.warning(
                 "routed: lines left out", extra={"event": "lines-left-out", "count": left_out}
             )
+        took_ms = round((now - arrived_at) * MS_PER_S, 1)
         fields: dict[str, object] = {
             "event": event,
             "id": request_id[:64],
             "route": record.route,
-            "ms": round((now - arrived_at) * MS_PER_S, 1),
+            "ms": took_ms,
             "sends": record.sends,
             **record.beliefs,
         }
@@ -103,3 +108,5 @@
             fields["notes"] = record.notes
         fields.update(more)
         _LOGGER.info("routed: %s", event, extra=fields)
+        ended = " ".join(str(more[name]) for name in ("code", "status", "reason") if name in more)
+        note_story(self.timeline, request_id[:64], record, f"{event} {ended}".strip(), took_ms)
--- a/packages/daemon/src/spindle_daemon/fleet_control.py
+++ b/packages/daemon/src/spindle_daemon/fleet_control.py
@@ -3,17 +3,20 @@
 import gevent
 
 from spindle_daemon.components import plan_api
+from spindle_daemon.components.admin.admin_app import AdminApp
+from spindle_daemon.components.admin.const import PATH_INSTANCES
 from spindle_daemon.components.control.driver_setup import create_driver
 from spindle_daemon.components.control.propose_service import ProposeService
 from spindle_daemon.components.control_link.proposal_client import ProposalClient
 from spindle_daemon.components.fleet.control_desk import ControlDesk
 from spindle_daemon.core.dialect import Dialect
 from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.helpers.json_response import json_ok
 from spindle_daemon.storage.patient_open import open_when_writable
 from spindle_decisions.wire.raft_packet import RaftPacket
 
 
-def setup_control(spindle: Spindle, dialect: Dialect) -> None:
+def setup_control(spindle: Spindle, dialect: Dialect, app: AdminApp) -> None:
     """Take part in the agreement, meet the fleet and answer operators."""
     settings = spindle.settings
     assert settings.fleet is not None
@@ -37,5 +40,6 @@
     driver.start()
     desk.start()
     plan_api.setup(spindle, dialect, driver)
+    app.route("GET", PATH_INSTANCES, lambda _request: json_ok(desk.live_instances()))
     spindle.on_stop(folder.close)
     spindle.ready = True
--- a/packages/daemon/src/spindle_daemon/fleet_daemon.py
+++ b/packages/daemon/src/spindle_daemon/fleet_daemon.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from spindle_daemon.components import admin, process_metrics, timeline
+from spindle_daemon.components.admin.admin_app import AdminApp
 from spindle_daemon.core.clock import SystemClock
 from spindle_daemon.core.dialect import Dialect
 from spindle_daemon.core.spindle import Spindle
@@ -19,7 +20,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-SetupRole = Callable[[Spindle, Dialect], None]
+SetupRole = Callable[[Spindle, Dialect, AdminApp], None]
 
 
 def run_fleet(
@@ -50,7 +51,7 @@
     )
     spindle.transport.start()
     SettingsWatch(spindle, path).start()
-    setup_role(spindle, dialect)
+    setup_role(spindle, dialect, app)
     wait_for_signal()
     _LOGGER.info("daemon: stopping", extra={"event": "stopping"})
     spindle.timeline.add(EventKind.PROCESS_STOPPING, "asked to stop")
--- a/tests/daemon/routed/common.py
+++ b/tests/daemon/routed/common.py
@@ -15,6 +15,7 @@
 from spindle_daemon.components.routed.coordinator import RoutedCoordinator
 from spindle_daemon.components.routed.request_log import RoutedLog
 from spindle_daemon.components.routed.routed_stats import RoutedStats
+from spindle_daemon.components.timeline.ring import TimelineRing
 from spindle_daemon.core.clock import SystemClock
 from spindle_daemon.core.dialect import Dialect, Paths
 from spindle_daemon.core.spindle import Spindle
@@ -33,6 +34,7 @@
 from spindle_decisions.routing.route import Route
 from spindle_decisions.routing.routed_service import RoutedService
 from spindle_decisions.routing.upstream_list import create_upstream_list
+from spindle_decisions.timeline.hybrid_clock import HybridClock
 from spindle_platform.dialect import HEADERS
 from tests.decisions.routing.common import HERE, HOST, gather_route, single_route
 
@@ -159,7 +161,8 @@
         self.spindle.bus.fire(PlanTaken(RoutingPlan(1, routes, services)))
         self.list_upstreams(*(item.listed() for item in upstreams))
         self.stats = RoutedStats()
-        log = RoutedLog(self.spindle.clock, self.stats)
+        hybrid = HybridClock(self.spindle.clock.wall_ms)
+        log = RoutedLog(self.spindle.clock, self.stats, TimelineRing("entry-1", hybrid))
         application = RoutedApplication(self.spindle, self.coordinator, HEADERS, log)
         self.server = create_http_server(Endpoint("127.0.0.1", 0), application, LimitsHandler)
         self.server.limits = LIMITS
--- a/tests/daemon/routed/test_log.py
+++ b/tests/daemon/routed/test_log.py
@@ -11,7 +11,10 @@
 from spindle_daemon.components.routed.request_log import RoutedLog
 from spindle_daemon.components.routed.routed_stats import RoutedStats
 from spindle_daemon.components.routed.run_record import RunRecord
+from spindle_daemon.components.timeline.ring import TimelineRing
 from spindle_decisions.exceptions import OverloadedError
+from spindle_decisions.timeline.hybrid_clock import HybridClock
+from spindle_decisions.timeline.story import tell_story
 from tests.daemon.routed.common import Request, ScriptedUpstream, tier
 
 LOGGER = "spindle_daemon.components.routed.request_log"
@@ -45,7 +48,8 @@
     def setUp(self) -> None:
         self.clock = FixedClock()
         self.stats = RoutedStats()
-        self.log = RoutedLog(self.clock, self.stats)
+        self.ring = TimelineRing("front-1", HybridClock(lambda: 0))
+        self.log = RoutedLog(self.clock, self.stats, self.ring)
 
     @params(
         ("late part", {"shards": 20, "parts": 19, "end": "aim"}, {"parts": 19, "shards": 20}),
@@ -76,6 +80,37 @@
         self.assertEqual(line["reason"], "nobody there")
         self.assertEqual(self.stats.outcomes, {"overloaded": 1})
 
+    @params(
+        (
+            {"shards": 20, "parts": 19, "end": "aim", "repeats": {"hedge": 1, "retry": 2}},
+            [
+                "received the request: route r-1, 100 ms before its end, plan 7, list age 0.4,"
+                " quorum age 0.2, instances 6.",
+                "sent a hedge: 1 of 2 sends.",
+                "sent a retry: 2 of 2 sends.",
+                "finished the request: answered 200 (19 of 20 parts, ended by: aim).",
+            ],
+        ),
+        (
+            {"upstream": "i-1", "notes": ["first desk i-1: reset"], "beliefs": {}},
+            [
+                "received the request: route r-1, 100 ms before its end.",
+                "saw an attempt fail: first desk i-1: reset.",
+                "finished the request: answered 200 (upstream i-1).",
+            ],
+        ),
+    )
+    def test_the_time_line_tells_the_same(self, fields: dict[str, Any], told: list[str]) -> None:
+        self.log.answered("id-1", 99.9, record(**fields), 200)
+        events = self.ring.query({"request": "id-1"}).events
+        story = tell_story("id-1", tuple(events))
+        self.assertEqual([line.partition("front-1 ")[2] for line in story], told)
+
+    def test_the_time_line_tells_of_a_refusal(self) -> None:
+        self.log.refused("id-1", 99.9, record(), OverloadedError("nobody there"))
+        events = self.ring.query({"request": "id-1"}).events
+        self.assertEqual(events[-1].reason, "refused overloaded nobody there")
+
     def test_plain_answers_are_sampled_and_the_line_says_so(self) -> None:
         with self.assertLogs(LOGGER, logging.INFO) as caught:
             for _ in range(2 * const.LOG_SAMPLE):
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -1,12 +1,16 @@
 """The whole path of a fleet over real processes."""
 
+import json
 import shutil
 import signal
+import subprocess
+import sys
 
 from tests.fleet.loopback_fleet import wait_until
 from tests.integration.fleet_case import FleetCase, document
 
 CONTROLS = ("core-1", "core-2", "core-3")
+METRICS_PORT = 9464
 
 
 class TestFleet(FleetCase):
@@ -37,6 +41,28 @@
         self.assertEqual((answer.status, answer.body), (200, b"GET /a/%41?b=c HTTP/1.1"))
         self.assertEqual(self.ask("front-1", "/nowhere/").status, 404)
 
+    def test_the_command_line_explains_a_request_from_its_id(self) -> None:
+        self.fleet.start("front-1")
+        wait_until("ready", lambda: self.fleet.is_ready("front-1"))
+        self.assertEqual(self.ask("front-1", "/nowhere/").status, 404)
+        address = f"{self.fleet.ip('core-1')}:{METRICS_PORT}"
+        told = self.spindlectl(address, "explain", "id-1")
+        self.assertIn("front-1 received the request: no route", told)
+        self.assertIn("front-1 finished the request: refused unknown-route", told)
+        shown = json.loads(self.spindlectl(address, "--json", "timeline", "--request", "id-1"))
+        self.assertEqual({item["instance"] for item in shown["events"]}, {"front-1"})
+
+    def spindlectl(self, address: str, *arguments: str) -> str:
+        """Run a command; its lines come on the standard output."""
+        given = ["--key-file", "deploy/mesh.key", "--control", address]
+        if arguments[0] == "--json":
+            given.append(arguments[0])
+            arguments = arguments[1:]
+        command = [sys.executable, "-m", "spindle_cli", *given, *arguments]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+        self.assertEqual((done.returncode, done.stderr), (0, ""))
+        return done.stdout
+
     def test_plans_are_acknowledged_once_and_read_back_as_sent(self) -> None:
         newer = document(9, "/b/")
         cases = (
