--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -10,7 +10,7 @@
 FAILURE_WEIGHT = 0.3
 PACE_MOST = 20.0
 # An upstream of another data centre counts as this much slower.
-FAR_FACTOR = 1.25
+FAR_FACTOR = 1.6
 # A request that is out this many usual times shows an upstream that stands still.
 STUCK_FACTOR = 2.5
 # Consecutive failures after which an upstream is left out, and for how long.
@@ -23,6 +23,10 @@
 DARK_S = 1.0
 # A request without any answer for this long counts towards that as well.
 SILENT_S = 0.2
+# Where another data centre answers meanwhile, so many usual times show it sooner, but
+# no less than the seconds that a busy upstream needs anyway.
+SILENT_USUALS = 4.0
+SILENT_LEAST_S = 0.04
 # While a route cannot be served, one request in this time is tried all the same.
 TRIAL_S = 0.25
 # A route is looked at for readiness while it had requests this lately.
