Allow honest refusals where the machine is short of processor time, and only there

Ruled out: lost or cut requests (none failed), a wrong count (no upstream ran a refused query). The checks now want of each query without an answer that it was refused as overloaded and not run, that no upstream ran it, and that processors were short (pressure over 0.4 of the time); on a machine at ease every query has to be answered as before.

--- a/bench/process_meter.py
+++ b/bench/process_meter.py
@@ -8,6 +8,8 @@
 FIELD_UTIME = 11
 FIELD_STIME = 12
 BYTES_PER_KB = 1024
+US_PER_S = 1_000_000
+PRESSURE = pathlib.Path("/proc/pressure/cpu")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,6 +28,16 @@
     return ProcessUse(ticks / TICKS_PER_S, _resident(folder / "status"))
 
 
+def cpu_pressure_s() -> float:
+    """Return the seconds so far in which some process of the machine waited for a processor.
+
+    A kernel that does not tell counts as one where none ever waits.
+    """
+    if not PRESSURE.exists():
+        return 0.0
+    return int(PRESSURE.read_text().split("total=")[1].split()[0]) / US_PER_S
+
+
 def _resident(path: pathlib.Path) -> int:
     for line in path.read_text().splitlines():
         if line.startswith("VmRSS:"):
--- a/tests/integration/serving_case.py
+++ b/tests/integration/serving_case.py
@@ -5,19 +5,23 @@
 import random
 import tempfile
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import gevent
 import msgspec
 from bench.experiments.serving.serving_deployment import ServingDeployment
 from bench.files import render_ini
 from bench.http_exchange import exchange
+from bench.load.outcome import Outcome
+from bench.load.query_record import QueryRecord
 from bench.load.request_id import create_request_id
 from bench.load.run_caller import RunCaller
 from bench.plan import DeploymentPlan, UpstreamPlan
 from bench.ports import LOOPBACK, free_ports
 from bench.process import Process
+from bench.process_meter import cpu_pressure_s
 
+from spindle_decisions.exceptions import OverloadedError
 from spindle_decisions.util.units import MS_PER_S
 from spindle_devkit.endpoint import Endpoint
 from spindle_devkit.proxy.const import PATH_LINKS
@@ -27,12 +31,17 @@
 MARK = "mark"
 HOUR_MS = 3_600_000
 POLL_S = 0.02
+# The share of the time in which some process waited for a processor, above which the
+# machine counts as short of processor time.
+SHORT_OF_CPU = 0.4
 
 
 class ServingCase(DeploymentCase):
     """A test whose stand-in upstreams tell what they ran."""
 
     deployment: ServingDeployment
+    pressure_s = 0.0
+    started_at = 0.0
 
     def start(
         self, plan: DeploymentPlan, later: tuple[UpstreamPlan, ...] = ()
@@ -40,6 +49,7 @@
         """Start a deployment and wait until it serves; no note names what comes `later`."""
         self.deployment = self._prepare(plan, later)
         self.deployment.start()
+        self.pressure_s, self.started_at = cpu_pressure_s(), time.monotonic()
         return self.deployment
 
     def start_behind_proxy(self, plan: DeploymentPlan) -> "UpstreamLinks":
@@ -68,6 +78,34 @@
             while not holds():
                 gevent.sleep(POLL_S)
 
+    def check_left_out(self, records: Iterable[QueryRecord]) -> None:
+        """Check that queries without an answer were refused honestly and for a reason.
+
+        On a machine that is short of processor time answers take many times their usual
+        time; the tier measures that, and refuses what would wait too long. So each such
+        query was refused as not run, no upstream ran it, and the machine was short.
+        """
+        left_out = [item for item in records if item.outcome is not Outcome.ANSWERED]
+        if not left_out:
+            return
+        seen = {(item.outcome, item.code, item.not_run) for item in left_out}
+        self.assertEqual(seen, {(Outcome.REFUSED, OverloadedError.code, True)})
+        marks = {item.mark for item in left_out}
+        run = [item for item in self.deployment.executions() if ran(item)]
+        self.assertEqual([item for item in run if mark_of(item) in marks], [])
+        pressure = (cpu_pressure_s() - self.pressure_s) / (time.monotonic() - self.started_at)
+        self.assertGreater(pressure, SHORT_OF_CPU, "refused on a machine at ease")
+
+    def check_half(self, records: Sequence[QueryRecord]) -> None:
+        """Check that most queries were answered, or refused as `check_left_out` allows."""
+        answered = [item for item in records if item.outcome is Outcome.ANSWERED]
+        if len(answered) > len(records) // 2:
+            return
+        overloaded = [item for item in records if item.code == OverloadedError.code]
+        self.assertGreater(len(answered) + len(overloaded), len(records) // 2)
+        self.assertGreater(len(answered), len(records) // 10)
+        self.check_left_out(overloaded)
+
     def _prepare(
         self, plan: DeploymentPlan, later: tuple[UpstreamPlan, ...] = ()
     ) -> ServingDeployment:
--- a/tests/integration/test_serving_coverage.py
+++ b/tests/integration/test_serving_coverage.py
@@ -11,6 +11,7 @@
 from bench.plan_builder import build_plan
 from nose2.tools import params
 
+from spindle_decisions.exceptions import OverloadedError
 from spindle_devkit.upstream.execution_state import ExecutionState
 from tests.integration.serving_case import ServingCase, mark_of
 
@@ -38,7 +39,9 @@
     @params(("kill", "coverage-below-minimum"), ("freeze", "deadline-exceeded"))
     def test_lost_service_is_named(self, loss: str, code: str) -> None:
         before = self._load("before")
-        self.assertEqual([item for item in before.records if not item.full], [])
+        answered = [item for item in before.records if item.outcome is Outcome.ANSWERED]
+        self.assertEqual([item for item in answered if not item.full], [])
+        self.check_left_out(before.records)
         for name in LOST_UPSTREAMS:
             getattr(self.deployment.processes[f"standin-{name}"], loss)()
         partial = self._load("partial")
@@ -52,13 +55,15 @@
         for run in (partial, tolerant):
             self._check_partial(run)
         self.assertEqual({item.outcome for item in refused.records}, {Outcome.REFUSED})
-        self.assertEqual({item.code for item in refused.records}, {code})
+        overloaded = [item for item in refused.records if item.code == OverloadedError.code]
+        self.check_left_out(overloaded)
+        self.assertEqual({item.code for item in refused.records} - {OverloadedError.code}, {code})
         self.deployment.wait_until(self._whole, "full coverage to come back")
         self._check_counted(before.records + partial.records + tolerant.records)
 
     def _check_partial(self, run: LoadRun) -> None:
         answered = [item for item in run.records if item.outcome is Outcome.ANSWERED]
-        self.assertEqual(len(answered), len(run.records))
+        self.check_left_out(run.records)
         for item in answered:
             self.assertEqual((item.missing, item.services), ((LOST,), len(SERVICES)), item)
             self.assertEqual(item.wrong, (), item)
@@ -73,6 +78,8 @@
             if execution.state is ExecutionState.FINISHED:
                 finished[mark_of(execution)].add(execution.upstream.rpartition("-")[0])
         for item in records:
+            if item.outcome is not Outcome.ANSWERED:
+                continue
             covered = SERVICES - set(item.missing) - {LOST}
             self.assertLessEqual(covered, finished[item.mark], item)
 
--- a/tests/integration/test_serving_leaving.py
+++ b/tests/integration/test_serving_leaving.py
@@ -7,7 +7,6 @@
 from bench.load.generator import offer_load
 from bench.load.load_run import LoadRun
 from bench.load.load_settings import LoadSettings
-from bench.load.outcome import Outcome
 from bench.load.run_answer import RunAnswer
 from bench.plan import GroupPlan
 from bench.plan_builder import build_plan
@@ -63,8 +62,7 @@
             if item.upstream in LEAVING and item.arrived_ms < told_ms
         ]
         self.assertEqual({item.upstream for item in before}, set(LEAVING))
-        answered = [item for item in records if item.outcome is Outcome.ANSWERED]
-        self.assertGreater(len(answered), len(records) // 2)
+        self.check_half(records)
         self.assertIn(200, {answer.status for answer in answers})
 
     def _load(self) -> LoadRun:
--- a/tests/integration/test_serving_own_answer.py
+++ b/tests/integration/test_serving_own_answer.py
@@ -56,7 +56,6 @@
         spoiling.kill()
         self.assertTrue(spoiling.successful(), spoiling.exception)
         self.assertEqual([item for item in run.records if item.wrong], [])
-        answered = sum(item.outcome is Outcome.ANSWERED for item in run.records)
-        self.assertGreater(answered, len(run.records) // 2)
+        self.check_half(run.records)
         failed = [item for item in run.records if item.outcome is Outcome.FAILED]
         self.assertEqual(failed, [], "every caller gets an answer or a coded refusal")
--- a/tests/integration/test_serving_snapshot.py
+++ b/tests/integration/test_serving_snapshot.py
@@ -53,7 +53,7 @@
     def _check_seen(self, run: LoadRun) -> None:
         answered = [item for item in run.records if item.outcome is Outcome.ANSWERED]
         self.assertEqual({item.snapshot for item in answered}, {OLD, NEXT, REPARTITIONED})
-        self.assertEqual(len(answered), len(run.records))
+        self.check_left_out(run.records)
         for item in answered:
             self.assertEqual(item.services, len(BY_EPOCH[item.snapshot[0]]), item)
 
--- a/tests/integration/test_stop.py
+++ b/tests/integration/test_stop.py
@@ -63,8 +63,8 @@
         self.assertEqual(cut, [], "every query gets an answer or a coded refusal")
         self.assertEqual([item for item in records if item.wrong], [])
         during = [item for item in records if item.at_s > BEFORE_S + 0.2]
-        answered = [item for item in during if item.outcome is Outcome.ANSWERED]
-        self.assertGreater(len(answered), len(during) // 2, "served on while the balancer sends")
+        # Served on while the balancer sends.
+        self.check_half(during)
         self.assertEqual([item for item in answers if item.status == 0], [])
         self.assertLessEqual({item.code for item in answers}, {"", "overloaded", "not-run"})
         self._check_page(len(records), len(answers))
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,6 +3,7 @@
 import logging
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -54,6 +55,8 @@
     verbose: Annotated[bool, typer.Option(help="Log each fault.")] = False,
 ) -> None:
     """Play drawn faults against a fleet of real processes and check its promises throughout."""
+    # Ends what the soak has started, as any other end of it does.
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(EXIT_BROKEN))
     logging.basicConfig(level=logging.INFO if verbose else logging.ERROR, stream=sys.stderr)
     checks: Counter[str] = Counter()
     faults: Counter[str] = Counter()
