Revert "Notice a cut data centre after a few usual times where others answer meanwhile"

An owner has few shards, and the pace of each upstream already keeps it away after one or two requests; what fails are the callers of the cut side.

--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -23,10 +23,6 @@
 DARK_S = 1.0
 # A request without any answer for this long counts towards that as well.
 SILENT_S = 0.2
-# Where another data centre answers meanwhile, so many usual times show it sooner, but
-# no less than the seconds that a busy upstream needs anyway.
-SILENT_USUALS = 4.0
-SILENT_LEAST_S = 0.04
 # While a route cannot be served, one request in this time is tried all the same.
 TRIAL_S = 0.25
 # A route is looked at for readiness while it had requests this lately.
--- a/packages/decisions/src/spindle_decisions/routing/replica_book.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica_book.py
@@ -22,7 +22,6 @@
         self.data_center = data_center
         self.rng = rng
         self.watch = DataCenterWatch()
-        self.answered_at: dict[str, float] = {}
         self.replicas: dict[str, Replica] = {}
         self.by_service: dict[str, list[Replica]] = {}
 
@@ -89,24 +88,14 @@
     def silent(self, replica: Replica, now: float, waited_s: float, usual_s: float) -> None:
         """Take in that nothing came back for so long, and that nobody waits any more."""
         replica.overtaken(now, waited_s, usual_s)
-        data_center = replica.listed.data_center
-        long_s = max(const.SILENT_LEAST_S, const.SILENT_USUALS * usual_s)
-        soon = waited_s >= long_s and self._others_answer(data_center, now, waited_s)
-        if soon or waited_s >= const.SILENT_S:
-            self.watch.unreachable(data_center, replica.upstream_id, now)
+        if waited_s >= const.SILENT_S:
+            self.watch.unreachable(replica.listed.data_center, replica.upstream_id, now)
 
     def answered(self, replica: Replica, now: float, took_s: float, usual_s: float) -> None:
         """Take in a good answer of an upstream."""
         replica.answered(now, took_s, usual_s)
-        self.answered_at[replica.listed.data_center] = now
         self.watch.answered(replica.listed.data_center)
 
-    def _others_answer(self, data_center: str, now: float, waited_s: float) -> bool:
-        """Return whether silence is that data centre's, and not this instance's own pause."""
-        return any(
-            now - at < waited_s / 2 for name, at in self.answered_at.items() if name != data_center
-        )
-
     def unreachable(self, replica: Replica, now: float) -> None:
         """Take in that no connection to an upstream came about."""
         replica.unreachable(now)
--- a/tests/decisions/routing/test_replicas.py
+++ b/tests/decisions/routing/test_replicas.py
@@ -124,36 +124,6 @@
         self.assertTrue(self.book.replicas.sound(replica, NOW))
 
 
-class TestSilentDataCenter(unittest.TestCase):
-    """Requests that are ended at their aim have waited for much less than `SILENT_S`."""
-
-    def setUp(self) -> None:
-        away = [listed(f"away{number}", f"s{number}", AWAY) for number in range(5)]
-        self.book = book(*away, listed("here", "s0", HERE)).replicas
-
-    def waited(self, waited_s: float, count: int = const.DARK_AFTER) -> bool:
-        for number in range(count):
-            self.book.silent(self.book.replicas[f"away{number}"], NOW, waited_s, 0.015)
-        return self.book.watch.is_dark(AWAY, NOW)
-
-    @params((0.06, True), (0.1, True), (0.05, False))
-    def test_a_few_usual_times_show_it_where_others_answer(
-        self, waited_s: float, dark: bool
-    ) -> None:
-        self.book.answered(self.book.replicas["here"], NOW - 0.01, 0.01, 0.015)
-        self.assertEqual(self.waited(waited_s), dark)
-
-    def test_a_pause_of_its_own_shows_nothing(self) -> None:
-        self.book.answered(self.book.replicas["here"], NOW - 0.1, 0.01, 0.015)
-        self.assertFalse(self.waited(0.1))
-
-    def test_an_answer_from_there_shows_that_upstreams_are_slow(self) -> None:
-        self.book.answered(self.book.replicas["here"], NOW - 0.01, 0.01, 0.015)
-        self.waited(0.1, const.DARK_AFTER - 1)
-        self.book.answered(self.book.replicas["away4"], NOW, 0.01, 0.015)
-        self.assertFalse(self.waited(0.1, 1))
-
-
 class TestServable(unittest.TestCase):
     def setUp(self) -> None:
         self.route = gather_route(4, 0.75)
