--- /dev/null
+++ b/tests/decisions/consensus/caller_acts.py
@@ -0,0 +1,39 @@
+"""Acts of callers."""
+
+from spindle_decisions.exceptions import NotLeaderError
+from tests.decisions.consensus.link_acts import LinkActs
+
+
+class CallerActs(LinkActs):
+    """Proposals and reads at whoever believes to lead."""
+
+    def propose_some(self, count: int) -> None:
+        """Propose at whoever believes to lead."""
+        name = self.pick(self.believed_leaders())
+        if name is None:
+            return
+        for _ in range(count):
+            self.propose_at(name)
+        if self.rng.random() < 0.5:
+            self.collect(name)
+
+    def propose_at(self, name: str) -> None:
+        self.commands += 1
+        command = b"c%d" % self.commands
+        try:
+            place = self[name].node.propose(self.local_now(name), command)
+        except NotLeaderError:
+            return
+        self.oracle.proposed[place] = command
+
+    def read_one(self) -> None:
+        name = self.pick(self.believed_leaders())
+        if name is None:
+            return
+        try:
+            read_id = self[name].node.request_read(self.local_now(name))
+        except NotLeaderError:
+            return
+        self.oracle.requested_read(name, read_id)
+        if self.rng.random() < 0.5:
+            self.collect(name)
--- /dev/null
+++ b/tests/decisions/consensus/link_acts.py
@@ -0,0 +1,87 @@
+"""Acts on time and messages."""
+
+from spindle_decisions.consensus.messages import RaftMessage
+from tests.decisions.consensus.checked_cluster import CheckedCluster
+from tests.decisions.consensus.common import TICK_S
+
+
+class LinkActs(CheckedCluster):
+    """Messages that are lost, late, twice, out of order or cut off."""
+
+    def run_for(self, seconds: float) -> None:
+        """Let time pass with delivery, syncs and the present loss."""
+        stop = self.now + seconds
+        while self.now < stop:
+            self.now += TICK_S
+            self.tick_all()
+            self.deliver_late(len(self.network))
+            for name in self.awake():
+                if self.rng.random() >= self.sync_delay:
+                    self.sync(name)
+
+    def tick_all(self) -> None:
+        for name in self.awake():
+            self[name].node.tick(self.local_now(name))
+            self.collect(name)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass in one jump, without delivery."""
+        self.now += seconds
+        self.tick_all()
+
+    def deliver_some(self, count: int) -> None:
+        """Deliver the oldest messages in order."""
+        batch, self.network = self.network[:count], self.network[count:]
+        for message in batch:
+            if self.rng.random() >= self.loss:
+                self.deliver(message)
+
+    def deliver_late(self, count: int) -> None:
+        """Deliver the oldest messages but those that the present delay holds back."""
+        now: list[RaftMessage] = []
+        late: list[RaftMessage] = []
+        for message in self.network[:count]:
+            (late if self.rng.random() < self.message_delay else now).append(message)
+        self.network[:count] = now
+        self.deliver_some(len(now))
+        self.network.extend(late)
+
+    def deliver_one(self) -> None:
+        """Deliver any message, out of order."""
+        if self.network:
+            self.deliver(self.network.pop(self.rng.randrange(len(self.network))))
+
+    def drop_one(self) -> None:
+        if self.network:
+            self.network.pop(self.rng.randrange(len(self.network)))
+
+    def duplicate_one(self) -> None:
+        if self.network:
+            copy = self.rng.choice(self.network)
+            self.network.insert(self.rng.randrange(len(self.network) + 1), copy)
+
+    def set_faults(self, loss: float, message_delay: float, sync_delay: float) -> None:
+        """Set the chances of a loss, of a message being late and of a sync being late."""
+        self.loss = loss
+        self.message_delay = message_delay
+        self.sync_delay = sync_delay
+
+    def cut_one_way(self) -> None:
+        self.cuts.add((self.rng.choice(self.names), self.rng.choice(self.names)))
+
+    def isolate(self) -> None:
+        self.cut_off(self.rng.choice(self.names))
+
+    def isolate_leader(self) -> None:
+        """Cut off whoever believes to lead."""
+        name = self.pick(self.believed_leaders())
+        if name:
+            self.cut_off(name)
+
+    def split(self) -> None:
+        """Split the instances into two groups that do not hear each other."""
+        self.cuts.clear()
+        here = {name for name in self.names if self.rng.random() < 0.5}
+        for name in here:
+            for other in set(self.names) - here:
+                self.cuts.update({(name, other), (other, name)})
