--- a/tests/soak/const.py
+++ b/tests/soak/const.py
@@ -18,7 +18,8 @@
 DEADLINE_MS = 1_500
 # A caller waits that much longer than it said, to see a late answer as well.
 LATE_S = 1.5
-
+# An upstream that hangs closes the connection after this long.
+HANG_S = 6.0
 
 # From docs/PROMISES.md and the platform's rules.
 RECOVER_S = 15.0
@@ -29,4 +30,3 @@
 RESIDENT_BYTES = 200 * 1024 * 1024
 # A reading of a machine with other work may be late by so much.
 SLACK_S = 1.0
-HANG_S = 6.0
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -4,6 +4,8 @@
 import time
 from collections import Counter
 
+import gevent
+
 _LOGGER = logging.getLogger(__name__)
 MAX_SHOWN = 300
 
@@ -25,6 +27,13 @@
             self.broken.append(f"{at:.2f} s: {promise}: {str(what)[:MAX_SHOWN]}")
             _LOGGER.error("broken: %s", self.broken[-1])
 
+    def watch(self, greenlet: gevent.Greenlet) -> gevent.Greenlet:
+        """Note it as broken if a part of the soak ends with an error; return that part."""
+        greenlet.link_exception(
+            lambda ended: self.check("every part of the soak runs on", False, repr(ended.exception))
+        )
+        return greenlet
+
     def fault(self, kind: str, what: str) -> None:
         """Count a fault and log it."""
         self.faults[kind] += 1
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+import gevent
 from nose2.tools import params
 
 from spindle_platform.dialect import HEADERS
@@ -142,6 +143,15 @@
         self.assertEqual(bool(ledger.broken), broken)
 
 
+class TestLedger(unittest.TestCase):
+    def test_a_part_that_ends_with_an_error_is_a_finding(self) -> None:
+        ledger = Ledger()
+        ledger.watch(gevent.spawn(int, "seven"))
+        gevent.sleep(0.01)
+        self.assertEqual(len(ledger.broken), 1)
+        self.assertIn("every part of the soak runs on", ledger.broken[0])
+
+
 class TestQuiet(unittest.TestCase):
     def test_only_a_while_after_the_last_disturbance(self) -> None:
         quiet = Quiet()
