--- a/tests/fleet/loopback_fleet.py
+++ b/tests/fleet/loopback_fleet.py
@@ -12,6 +12,7 @@
 from bench.ports import free_ports
 from bench.process import Process
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 
 from tests.platform.template import render
 from tests.platform.test_settings import FIELDS
@@ -97,7 +98,7 @@
         try:
             response = client.request(method, path, body)
             return response.status_code, bytes(response.read())
-        except (OSError, ValueError):
+        except (OSError, HTTPParseError):
             return 0, b""
         finally:
             client.close()
