Soak: measure the machine, and judge no bound in seconds while it is not at ease

Ruled out: a wrong, lost or repeated answer (those checks held), a plan lost. Not judged is counted and printed.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -29,6 +29,9 @@
     ledger = soak.run(time.monotonic() + minutes * S_PER_MINUTE)
     checks, faults = ledger.checks.total(), ledger.faults.total()
     typer.echo(f"seed {seed}: {faults} faults, {checks} checks, {len(ledger.broken)} broken")
+    if ledger.not_judged:
+        left = ", ".join(f"{count} x {name}" for name, count in sorted(ledger.not_judged.items()))
+        typer.echo(f"  machine not at ease for {ledger.uneasy_s:.0f} s; not judged: {left}")
     for line in ledger.broken:
         typer.echo(f"  {line}")
     if ledger.broken:
--- a/tests/soak/const.py
+++ b/tests/soak/const.py
@@ -27,6 +27,8 @@
 DRAIN_S = 4.0
 STOP_S = 6.0
 QUIET_S = 5.0
+# A process that is so young may not have its handlers of signals yet.
+STARTING_S = 3.0
 RESIDENT_BYTES = 200 * 1024 * 1024
 # A reading of a machine with other work may be late by so much.
 SLACK_S = 1.0
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -18,6 +18,9 @@
         self.checks: Counter[str] = Counter()
         self.faults: Counter[str] = Counter()
         self.broken: list[str] = []
+        # Seconds in which the machine was not at ease, and what was not judged for that.
+        self.uneasy_s = 0.0
+        self.not_judged: Counter[str] = Counter()
 
     def check(self, promise: str, holds: bool, what: object = "") -> None:
         """Count a check; note what was seen where the promise does not hold."""
@@ -34,6 +37,13 @@
         )
         return greenlet
 
+    def judge(self, promise: str, holds: bool | None, what: object = "") -> None:
+        """Check, but for `None`: then the machine was not at ease for long enough to tell."""
+        if holds is None:
+            self.not_judged[promise] += 1
+        else:
+            self.check(promise, holds, what)
+
     def fault(self, kind: str, what: str) -> None:
         """Count a fault and log it."""
         self.faults[kind] += 1
--- a/tests/soak/quiet.py
+++ b/tests/soak/quiet.py
@@ -21,6 +21,10 @@
         self.open -= 1
         self.last_end = time.monotonic()
 
+    def disturbed(self) -> None:
+        """Something disturbed until now."""
+        self.last_end = time.monotonic()
+
     def since(self, at: float, margin_s: float = const.QUIET_S) -> bool:
         """Return whether nothing disturbed since a while before that time."""
         return self.open == 0 and self.last_end < at - margin_s
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import random
+import time
 
 import msgspec
 from bench.files import render_ini
@@ -39,6 +40,7 @@
         self.retired: list[SoakUpstream] = []
         self.draining: set[str] = set()
         self.given = 0
+        self.started_at: dict[str, float] = {}
         count = len(SERVICES) * const.UPSTREAMS_PER_SERVICE + SPARE_PLACES
         self.near = free_ports(count)
         self.behind = free_ports(count)
@@ -61,6 +63,7 @@
         if process is not None and process.running:
             return
         self.fleet.start(name, founding=founding)
+        self.started_at[name] = time.monotonic()
 
     def warp(self, name: str, warp: Warp) -> None:
         """Set what misbehaves in a process."""
