Lead ports through the fault proxy in one place

Starting the proxy and changing its links was written three times, for control links, for upstreams and for the soak; FaultProxy does it now.

--- a/bench/fault_links.py
+++ b/bench/fault_links.py
@@ -2,16 +2,10 @@
 
 import dataclasses
 
-import msgspec
-
 from bench.deployment import Deployment
-from bench.files import render_ini
-from bench.http_exchange import exchange
+from bench.fault_proxy import FaultProxy
 from bench.plan import DeploymentPlan
-from bench.ports import LOOPBACK, free_ports
-from bench.process import Process
-
-PATH_LINKS = "/v1/links"
+from bench.ports import free_ports
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,27 +32,13 @@
 
     def __init__(self, links: tuple[FaultLink, ...], admin_port: int) -> None:
         self.links = links
-        self.admin_port = admin_port
+        ways = {link.name: (link.port, link.target_port) for link in links}
+        self.proxy = FaultProxy("proxy", admin_port, ways)
 
     def start(self, deployment: Deployment) -> None:
         """Start the proxy process as part of a deployment."""
-        sections = {"proxy": {"listen": f"{LOOPBACK}:{self.admin_port}"}}
-        for link in self.links:
-            sections[f"link {link.name}"] = {
-                "listen": f"{LOOPBACK}:{link.port}",
-                "target": f"{LOOPBACK}:{link.target_port}",
-            }
-        path = deployment.folder / "proxy.ini"
-        path.write_text(render_ini(sections))
-        process = Process(
-            "proxy",
-            "spindle_devkit.proxy",
-            ["--config", str(path)],
-            deployment.folder / "proxy.log",
-        )
-        process.start()
-        deployment.processes["proxy"] = process
-        deployment.wait_until(lambda: self._post({}) or None, "the fault proxy")
+        deployment.processes[self.proxy.name] = self.proxy.start(deployment.folder)
+        deployment.wait_until(self.proxy.answers, "the fault proxy")
 
     def isolate(self, control: str) -> None:
         """Cut a control instance off from all others, both ways and silently."""
@@ -76,23 +56,15 @@
         """End the cuts between the named instances only."""
         for link in self.links:
             if link.source in side and link.control in side:
-                self._post(
-                    {"link": link.name, "cut_forward": False, "cut_backward": False, "reset": True}
-                )
+                self.proxy.change(link.name, cut_forward=False, cut_backward=False, reset=True)
 
     def cut(self, source: str, control: str) -> None:
         """Hold everything that an instance sends to a control instance."""
-        self._post({"link": f"{source}>{control}", "cut_forward": True, "cut_backward": True})
+        self.proxy.change(f"{source}>{control}", cut_forward=True, cut_backward=True)
 
     def heal(self) -> None:
         """End all cuts; the held connections are reset, as after a long partition."""
-        self._post({"cut_forward": False, "cut_backward": False, "reset": True})
-
-    def _post(self, change: dict[str, object]) -> bool:
-        done = exchange(self.admin_port, "POST", PATH_LINKS, msgspec.json.encode(change))
-        if done.status != 200:
-            raise RuntimeError(f"fault proxy answered {done.status}")
-        return True
+        self.proxy.change(cut_forward=False, cut_backward=False, reset=True)
 
 
 def proxied(plan: DeploymentPlan) -> tuple[DeploymentPlan, FaultLinks]:
--- a/bench/run_tests.py
+++ b/bench/run_tests.py
@@ -12,11 +12,13 @@
 from gevent.pool import Pool
 from gevent.subprocess import Popen
 
+from bench.ports import SLICE_VARIABLE
+
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 FIELD_SEPARATOR = "|"
 TESTS = pathlib.Path("tests")
 # Modules that mostly wait for real processes; they start first.
-WAITING = "integration"
+WAITING = ("integration", "test_soak")
 WORKERS = 4
 
 
@@ -29,7 +31,7 @@
 def test_modules() -> list[str]:
     """Return the names of all test modules, those that wait most first."""
     names = [".".join(path.with_suffix("").parts) for path in sorted(TESTS.rglob("test_*.py"))]
-    return sorted(names, key=lambda name: (WAITING not in name, name))
+    return sorted(names, key=lambda name: (not any(word in name for word in WAITING), name))
 
 
 class ModuleRun:
@@ -45,7 +47,7 @@
     def run(self, slot: int) -> None:
         """Run the module and read its outcomes; one that ends without any has failed."""
         started = time.monotonic()
-        environment = {**os.environ, "SPINDLE_PORT_SLICE": f"{slot}/{WORKERS}"}
+        environment = {**os.environ, SLICE_VARIABLE: f"{slot}/{WORKERS}"}
         command = [sys.executable, "-m", "bench.run_module", self.name, str(self.results)]
         with self.output.open("wb") as output:
             process = Popen(command, env=environment, stdout=output, stderr=subprocess.STDOUT)
--- a/tests/integration/serving_case.py
+++ b/tests/integration/serving_case.py
@@ -10,21 +10,18 @@
 import gevent
 import msgspec
 from bench.experiments.serving.serving_deployment import ServingDeployment
-from bench.files import render_ini
-from bench.http_exchange import exchange
+from bench.fault_proxy import FaultProxy
 from bench.load.outcome import Outcome
 from bench.load.query_record import QueryRecord
 from bench.load.request_id import create_request_id
 from bench.load.run_caller import RunCaller
 from bench.plan import DeploymentPlan, UpstreamPlan
 from bench.ports import LOOPBACK, free_ports
-from bench.process import Process
 from bench.process_meter import cpu_pressure_s
 
 from spindle_decisions.exceptions import DeadlineExceededError, OverloadedError
 from spindle_decisions.util.units import MS_PER_S
 from spindle_devkit.endpoint import Endpoint
-from spindle_devkit.proxy.const import PATH_LINKS
 from spindle_devkit.upstream.execution import Execution
 from tests.integration.common import DeploymentCase
 
@@ -136,28 +133,15 @@
 
     def start(self) -> None:
         """Start the proxy process."""
-        sections = {"proxy": {"listen": f"{LOOPBACK}:{self.admin_port}"}}
-        for item in self.deployment.upstreams:
-            sections[f"link {item.name}"] = {
-                "listen": f"{LOOPBACK}:{self.near[item.name]}",
-                "target": f"{LOOPBACK}:{item.port}",
-            }
-        folder = self.deployment.folder
-        path = folder / "upstream-proxy.ini"
-        path.write_text(render_ini(sections))
-        arguments = ["--config", str(path)]
-        log = folder / "upstream-proxy.log"
-        process = Process("upstream-proxy", "spindle_devkit.proxy", arguments, log)
-        process.start()
-        self.deployment.processes["upstream-proxy"] = process
-        self.deployment.wait_until(lambda: self.change() or True, "the upstream proxy")
+        deployment = self.deployment
+        ways = {item.name: (self.near[item.name], item.port) for item in deployment.upstreams}
+        self.proxy = FaultProxy("upstream-proxy", self.admin_port, ways)
+        deployment.processes[self.proxy.name] = self.proxy.start(deployment.folder)
+        deployment.wait_until(self.proxy.answers, "the upstream proxy")
 
     def change(self, link: str = "", **faults: object) -> None:
         """Change one link, or all of them when none is named."""
-        body = msgspec.json.encode({"link": link, **faults})
-        done = exchange(self.admin_port, "POST", PATH_LINKS, body)
-        if done.status != 200:
-            raise RuntimeError(f"fault proxy answered {done.status}: {done.data!r}")
+        self.proxy.change(link, **faults)
 
 
 class IdSource:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -72,8 +72,9 @@
     def _found(self) -> None:
         self.stage.start()
         wait_until("the first acknowledgement", self.operator.change_once, FOUNDING_S)
+        ready = self.stage.fleet.is_ready
         for entry in const.ENTRIES:
-            wait_until(f"{entry} to be ready", lambda entry=entry: self._serves(entry), FOUNDING_S)
+            wait_until(f"{entry} to be ready", lambda entry=entry: ready(entry), FOUNDING_S)
         self.watch.start()
         self.callers.start()
         self.operator.start()
@@ -142,11 +143,8 @@
         self.stage.place(service, place)
         self.stage.list_upstreams()
 
-    def _serves(self, entry: str) -> bool:
-        return self.stage.fleet.is_ready(entry)
-
     def _all_serve(self) -> bool:
-        return all(map(self._serves, const.ENTRIES))
+        return all(map(self.stage.fleet.is_ready, const.ENTRIES))
 
     def _in_force(self) -> bool:
         newest = self.operator.acknowledged
@@ -171,5 +169,5 @@
         return None, None
 
     def _state(self) -> dict[str, object]:
-        ready = {entry: self._serves(entry) for entry in const.ENTRIES}
+        ready = {entry: self.stage.fleet.is_ready(entry) for entry in const.ENTRIES}
         return {"sent": self.operator.version, "acked": self.operator.acknowledged, **ready}
--- a/tests/soak/stage.py
+++ b/tests/soak/stage.py
@@ -5,12 +5,9 @@
 import time
 
 import msgspec
-from bench.files import render_ini
-from bench.http_exchange import exchange
+from bench.fault_proxy import FaultProxy
 from bench.ports import LOOPBACK, free_ports
-from bench.process import Process
 
-from spindle_devkit.proxy.const import PATH_LINKS
 from tests.fleet.loopback_fleet import LoopbackFleet, wait_until
 from tests.platform.test_upstream_source import GOOD
 from tests.soak import const
@@ -44,14 +41,19 @@
         count = len(SERVICES) * const.UPSTREAMS_PER_SERVICE + SPARE_PLACES
         self.near = free_ports(count)
         self.behind = free_ports(count)
-        self.list_port, self.admin_port = free_ports(2)
+        self.list_port, admin_port = free_ports(2)
+        pairs = zip(self.near, self.behind, strict=True)
+        ways = {str(place): pair for place, pair in enumerate(pairs)}
+        ways[LIST_LINK] = (self.list_port, self.fleet.platform_port)
+        self.proxy = FaultProxy("proxy", admin_port, ways)
         self.names = (*const.CONTROLS, *const.ENTRIES)
 
     def start(self) -> None:
         """Start proxy, upstreams and all instances."""
         for place in range(len(self.near) - SPARE_PLACES):
             self.place(SERVICES[place % len(SERVICES)], place)
-        self._start_proxy()
+        self.fleet.processes[self.proxy.name] = self.proxy.start(self.fleet.folder)
+        wait_until("the fault proxy", self._proxy_answers)
         self.fleet.platform_port = self.list_port
         self.list_upstreams()
         for name in self.names:
@@ -112,17 +114,13 @@
 
     def link(self, name: str = "", **faults: object) -> None:
         """Change a link of the fault proxy, or all of them."""
-        body = msgspec.json.encode({"link": name, **faults})
-        done = exchange(self.admin_port, "POST", PATH_LINKS, body)
-        if done.status != 200:
-            raise RuntimeError(f"fault proxy answered {done.status}: {done.data!r}")
+        self.proxy.change(name, **faults)
 
     def restore(self) -> None:
         """End every disturbance; what does not run is started."""
-        for place, upstream in self.upstreams.items():
+        for upstream in self.upstreams.values():
             upstream.mood = ""
-            self.link(str(place), delay_ms=0.0, cut_forward=False, cut_backward=False)
-        self.link(LIST_LINK, delay_ms=0.0, cut_forward=False, cut_backward=False)
+        self.link(delay_ms=0.0, cut_forward=False, cut_backward=False)
         self.list_upstreams()
         for name in self.names:
             self.warp(name, Warp())
@@ -135,27 +133,8 @@
         for upstream in self.upstreams.values():
             upstream.server.stop()
 
-    def _start_proxy(self) -> None:
-        sections = {"proxy": {"listen": f"{LOOPBACK}:{self.admin_port}"}}
-        pairs = zip(self.near, self.behind, strict=True)
-        ways = {str(place): pair for place, pair in enumerate(pairs)}
-        ways[LIST_LINK] = (self.list_port, int(self.fleet.platform.server.server_port))
-        for name, (near, behind) in ways.items():
-            sections[f"link {name}"] = {
-                "listen": f"{LOOPBACK}:{near}",
-                "target": f"{LOOPBACK}:{behind}",
-            }
-        path = self.fleet.folder / "proxy.ini"
-        path.write_text(render_ini(sections))
-        log = self.fleet.folder / "proxy.log"
-        proxy = Process("proxy", "spindle_devkit.proxy", ["--config", str(path)], log)
-        proxy.start()
-        self.fleet.processes["proxy"] = proxy
-        wait_until("the fault proxy", self._proxy_answers)
-
     def _proxy_answers(self) -> bool:
         try:
-            self.link()
+            return self.proxy.answers()
         except OSError:
             return False
-        return True
