Write once what both roles and both daemons do

Both daemons made their Spindle with the same lines (create_spindle), both desks took pushed lists alike (ListReader.take_push), and both runners of gathers refused alike (gather_refusal). A hello's digest was computed again for each receiver, also where nothing was told; the two forms of a hello are now made once a round.

--- a/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
@@ -13,7 +13,7 @@
     LIST_NEWS_S,
 )
 from spindle_daemon.components.fleet.fleet_instance import fleet_instance
-from spindle_daemon.components.fleet.list_codec import decode_list, encode_list
+from spindle_daemon.components.fleet.list_codec import encode_list
 from spindle_daemon.components.fleet.list_reader import ListReader
 from spindle_daemon.core.dialect import Dialect
 from spindle_daemon.core.settings_reloaded import SettingsReloaded
@@ -21,11 +21,11 @@
 from spindle_daemon.helpers.periodic import run_every
 from spindle_daemon.settings.fleet_settings import FleetSettings
 from spindle_decisions.consensus.role import Role
-from spindle_decisions.exceptions import FrameError, MembershipChangeError
+from spindle_decisions.exceptions import MembershipChangeError
 from spindle_decisions.fleet import const
 from spindle_decisions.fleet.fleet_table import FleetTable
 from spindle_decisions.fleet.founding import Founding
-from spindle_decisions.fleet.heard_sets import HeardSets
+from spindle_decisions.fleet.heard_sets import HeardSets, with_ages_only
 from spindle_decisions.fleet.instances_digest import instances_digest
 from spindle_decisions.fleet.list_keeper import ListKeeper
 from spindle_decisions.fleet.list_turn import read_after_s
@@ -137,24 +137,22 @@
         self.driver.node.met(frozenset(item.name for item in others))
         self.hellos += 1
         full = self.hellos % HELLO_FULL_EVERY == 0 or not self._led()
-        heard = self.table.told_here(now, const.SHARE_S) if full else ()
-        names = {item.address: item.name for item in others}
-        for address in sorted({*names, *self.fleet.seeds} - {self.me.address}):
-            self.spindle.transport.send(address, self._hello(names.get(address, ""), heard))
-
-    def _hello(self, receiver: str, heard: tuple[HeardInstance, ...]) -> FleetHello:
-        digest, whole, ages_ms = self.heard_sets.tell(receiver, heard)
-        return FleetHello(
+        hello = FleetHello(
             instance=self.me,
             folder_id=self.folder_id,
             founding=self.founding.is_seed,
-            heard=whole,
+            heard=(),
             list_digest=self.keeper.held.digest,
-            list_age_ms=self._list_age_ms(self.spindle.clock.now()),
-            heard_digest=digest if heard else "",
-            ages_ms=ages_ms,
-            holds=self.heard_sets.holds() if heard else {},
+            list_age_ms=self._list_age_ms(now),
         )
+        told = hello
+        if full:
+            hello = self.heard_sets.tell(hello, self.table.told_here(now, const.SHARE_S))
+            told = with_ages_only(hello)
+        names = {item.address: item.name for item in others}
+        for address in sorted({*names, *self.fleet.seeds} - {self.me.address}):
+            held = self.heard_sets.is_held_by(names.get(address, ""), hello.heard_digest)
+            self.spindle.transport.send(address, told if held else hello)
 
     def _on_hello(self, _sender: str, hello: FleetHello) -> None:
         now = self.spindle.clock.now()
@@ -231,13 +229,7 @@
         return None if instances_digest(peers) == beat.peers_digest else peers
 
     def _on_list(self, _sender: str, push: ListPush) -> None:
-        now = self.spindle.clock.now()
-        try:
-            newer = decode_list(push)
-        except FrameError as err:
-            _LOGGER.warning("fleet: list dropped: %s", err)
-            return
-        if self.keeper.take(newer, now - push.age_ms / MS_PER_S):
+        if self.reader.take_push(push):
             self._tell_list(())
 
     def _on_read(self, changed: bool) -> None:
--- a/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
@@ -13,7 +13,6 @@
     PLAN_SURE_WAIT_S,
 )
 from spindle_daemon.components.fleet.fleet_instance import fleet_instance
-from spindle_daemon.components.fleet.list_codec import decode_list
 from spindle_daemon.components.fleet.list_reader import ListReader
 from spindle_daemon.components.fleet.plan_taken import PlanTaken
 from spindle_daemon.components.fleet.upstreams_taken import UpstreamsTaken
@@ -22,7 +21,7 @@
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.periodic import run_every
 from spindle_daemon.settings.fleet_settings import FleetSettings
-from spindle_decisions.exceptions import FrameError, PlanError
+from spindle_decisions.exceptions import PlanError
 from spindle_decisions.fleet import const
 from spindle_decisions.fleet.beat_plan import beats_now
 from spindle_decisions.fleet.fleet_table import FleetTable
@@ -217,14 +216,7 @@
         self.spindle.bus.fire(PlanTaken(plan))
 
     def _on_list(self, _sender: str, push: ListPush) -> None:
-        now = self.spindle.clock.now()
-        try:
-            newer = decode_list(push)
-        except FrameError as err:
-            _LOGGER.warning("fleet: list dropped: %s", err)
-            return
-        if self.keeper.take(newer, now - push.age_ms / MS_PER_S):
-            self.spindle.bus.fire(UpstreamsTaken(newer, self.instances))
+        self._on_read(self.reader.take_push(push))
 
     def _on_read(self, changed: bool) -> None:
         if changed:
--- a/packages/daemon/src/spindle_daemon/components/fleet/list_reader.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/list_reader.py
@@ -6,12 +6,15 @@
 import gevent
 
 from spindle_daemon.components.fleet.const import READ_RETRY_S, READ_TICK_S
+from spindle_daemon.components.fleet.list_codec import decode_list
 from spindle_daemon.core.clock import Clock
 from spindle_daemon.core.dialect import UpstreamSource
 from spindle_daemon.helpers.periodic import run_every
-from spindle_decisions.exceptions import UpstreamListError
+from spindle_decisions.exceptions import FrameError, UpstreamListError
 from spindle_decisions.fleet.list_keeper import ListKeeper
 from spindle_decisions.routing.upstream_list import create_upstream_list
+from spindle_decisions.util.units import MS_PER_S
+from spindle_decisions.wire.list_push import ListPush
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -19,7 +22,8 @@
 class ListReader:
     """Reads the list once it is older than `read_after_s()` and hands on what is new.
 
-    `on_read` gets whether the content changed.
+    `on_read` gets whether the content changed. A list that another process has read
+    saves a reading.
     """
 
     def __init__(
@@ -42,6 +46,16 @@
         """Start the greenlet."""
         gevent.spawn(run_every, "upstreams", lambda: READ_TICK_S, self.step)
 
+    def take_push(self, push: ListPush) -> bool:
+        """Take a list that another process has read; return whether its content is new here."""
+        now = self.clock.now()
+        try:
+            newer = decode_list(push)
+        except FrameError as err:
+            _LOGGER.warning("fleet: list dropped: %s", err)
+            return False
+        return self.keeper.take(newer, now - push.age_ms / MS_PER_S)
+
     def step(self) -> None:
         """Read the list if it is due."""
         started = self.clock.now()
--- a/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -1,13 +1,13 @@
 """Carrying out a gathered request."""
 
-from spindle_daemon.components.routed.gathered_answer import gathered_answer
+from spindle_daemon.components.routed.gathered_answer import gather_refusal, gathered_answer
 from spindle_daemon.components.routed.raw_reply import RawReply
 from spindle_daemon.components.routed.reply_judge import ReplyMeaning
 from spindle_daemon.components.routed.routed_answer import RoutedAnswer
 from spindle_daemon.components.routed.send_crew import SendCrew
 from spindle_daemon.components.routed.send_result import SendResult
 from spindle_daemon.components.routed.time_left import time_left_s
-from spindle_decisions.exceptions import DeadlineExceededError, OverloadedError, PartsFailedError
+from spindle_decisions.exceptions import OverloadedError
 from spindle_decisions.routing.gather import Gather
 from spindle_decisions.routing.part_send import PartSend
 from spindle_decisions.routing.records import greatest_records
@@ -74,9 +74,7 @@
             return self._merged(parts)
         if not self.crew.record.sends:
             raise OverloadedError("no upstream may be used now")
-        if end.reason == "deadline":
-            raise DeadlineExceededError("too few shards answered in time")
-        raise PartsFailedError("too few shards answered")
+        raise gather_refusal(end.reason)
 
     def _parts(self) -> list[RawReply]:
         shards = self.gather.shards
--- a/packages/daemon/src/spindle_daemon/components/routed/gathered_answer.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gathered_answer.py
@@ -4,6 +4,14 @@
 
 from spindle_daemon.components.routed.routed_answer import RoutedAnswer
 from spindle_daemon.core.dialect import HeaderNames
+from spindle_decisions.exceptions import DeadlineExceededError, PartsFailedError, RefusalError
+
+
+def gather_refusal(reason: str) -> RefusalError:
+    """Return the refusal of a gather that ended for this reason without enough parts."""
+    if reason == "deadline":
+        return DeadlineExceededError("too few shards answered in time")
+    return PartsFailedError("too few shards answered")
 
 
 def gathered_answer(
--- a/packages/daemon/src/spindle_daemon/components/routed/spread_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/spread_runner.py
@@ -4,13 +4,12 @@
 
 from gevent.event import Event
 
-from spindle_daemon.components.routed.gathered_answer import gathered_answer
+from spindle_daemon.components.routed.gathered_answer import gather_refusal, gathered_answer
 from spindle_daemon.components.routed.owner_desk import OwnerDesk, ReplyListener
 from spindle_daemon.components.routed.routed_answer import RoutedAnswer
 from spindle_daemon.components.routed.routed_request import RoutedRequest
 from spindle_daemon.components.routed.run_record import RunRecord
 from spindle_daemon.components.routed.time_left import time_left_s
-from spindle_decisions.exceptions import DeadlineExceededError, PartsFailedError
 from spindle_decisions.routing.records import greatest_records
 from spindle_decisions.routing.route import Route
 from spindle_decisions.routing.spread import Spread
@@ -116,6 +115,4 @@
             return gathered_answer(
                 names, self.request.sent.request_id, signatures, missing, records
             )
-        if end.reason == "deadline":
-            raise DeadlineExceededError("too few shards answered in time")
-        raise PartsFailedError("too few shards answered")
+        raise gather_refusal(end.reason)
--- a/packages/daemon/src/spindle_daemon/daemon.py
+++ b/packages/daemon/src/spindle_daemon/daemon.py
@@ -1,7 +1,6 @@
 """Start and planned stop of one process."""
 
 import logging
-import random
 
 from spindle_daemon.components import account as account_component
 from spindle_daemon.components import (
@@ -9,22 +8,18 @@
     control,
     control_link,
     platform_list,
-    process_metrics,
     timeline,
 )
 from spindle_daemon.components import entry_http as entry_http_component
 from spindle_daemon.components import serving as serving_component
-from spindle_daemon.core.clock import SystemClock
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.process import read_key, wait_for_signal
-from spindle_daemon.mesh.transport import Transport
+from spindle_daemon.process_start import create_spindle
 from spindle_daemon.settings.const import ROLE_CONTROL
 from spindle_daemon.settings.settings import Settings
 from spindle_daemon.storage.summary_files import SummaryFiles, create_summary_files
 from spindle_decisions.exceptions import FrameError
 from spindle_decisions.timeline.event_kind import EventKind
-from spindle_decisions.timeline.hybrid_clock import HybridClock
-from spindle_decisions.wire.frame_codec import FrameCodec
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -34,15 +29,8 @@
 def run(settings: Settings) -> None:
     """Run the process until SIGTERM or SIGINT, then stop as planned."""
     key = read_key(settings)
-    clock = SystemClock()
-    hybrid = HybridClock(clock.wall_ms)
-    spindle = Spindle(settings, clock, random.Random(), incarnation=clock.wall_ms())
-    spindle.transport = Transport(
-        settings.instance.name, settings.mesh.listen, FrameCodec(key), hybrid
-    )
-    timeline.setup(spindle, hybrid)
+    spindle = create_spindle(settings, key)
     spindle.transport.on_bad_frame = lambda err: _note_bad_frame(spindle, err)
-    process_metrics.setup(spindle)
     _setup_role(spindle, key)
     spindle.transport.start()
     wait_for_signal()
@@ -50,7 +38,7 @@
     spindle.timeline.add(EventKind.PROCESS_STOPPING, "asked to stop")
     spindle.stop()
     spindle.transport.close()
-    _LOGGER.info("daemon: stopped after %s ms", clock.wall_ms() - spindle.incarnation)
+    _LOGGER.info("daemon: stopped after %s ms", spindle.clock.wall_ms() - spindle.incarnation)
 
 
 def _setup_role(spindle: Spindle, key: bytes) -> None:
--- a/packages/daemon/src/spindle_daemon/fleet_daemon.py
+++ b/packages/daemon/src/spindle_daemon/fleet_daemon.py
@@ -2,21 +2,17 @@
 
 import logging
 import pathlib
-import random
 from collections.abc import Callable
 
-from spindle_daemon.components import admin, process_metrics, timeline
+from spindle_daemon.components import admin, timeline
 from spindle_daemon.components.admin.admin_app import AdminApp
-from spindle_daemon.core.clock import SystemClock
 from spindle_daemon.core.dialect import Dialect
 from spindle_daemon.core.spindle import Spindle
 from spindle_daemon.helpers.process import read_key, wait_for_signal
 from spindle_daemon.helpers.settings_watch import SettingsWatch
-from spindle_daemon.mesh.transport import Transport
+from spindle_daemon.process_start import create_spindle
 from spindle_daemon.settings.settings import Settings
 from spindle_decisions.timeline.event_kind import EventKind
-from spindle_decisions.timeline.hybrid_clock import HybridClock
-from spindle_decisions.wire.frame_codec import FrameCodec
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -31,14 +27,7 @@
     `setup_role` sets up what the role needs, so that no process loads the other role.
     """
     key = read_key(settings)
-    clock = SystemClock()
-    hybrid = HybridClock(clock.wall_ms)
-    spindle = Spindle(settings, clock, random.Random(), incarnation=clock.wall_ms())
-    spindle.transport = Transport(
-        settings.instance.name, settings.mesh.listen, FrameCodec(key), hybrid
-    )
-    timeline.setup(spindle, hybrid)
-    process_metrics.setup(spindle)
+    spindle = create_spindle(settings, key)
     app = admin.setup(spindle, key)
     timeline.register(spindle, app)
     _LOGGER.info(
--- /dev/null
+++ b/packages/daemon/src/spindle_daemon/process_start.py
@@ -0,0 +1,24 @@
+"""What every process sets up before its role."""
+
+import random
+
+from spindle_daemon.components import process_metrics, timeline
+from spindle_daemon.core.clock import SystemClock
+from spindle_daemon.core.spindle import Spindle
+from spindle_daemon.mesh.transport import Transport
+from spindle_daemon.settings.settings import Settings
+from spindle_decisions.timeline.hybrid_clock import HybridClock
+from spindle_decisions.wire.frame_codec import FrameCodec
+
+
+def create_spindle(settings: Settings, key: bytes) -> Spindle:
+    """Return the running instance with its transport, not yet started, and its time line."""
+    clock = SystemClock()
+    hybrid = HybridClock(clock.wall_ms)
+    spindle = Spindle(settings, clock, random.Random(), incarnation=clock.wall_ms())
+    spindle.transport = Transport(
+        settings.instance.name, settings.mesh.listen, FrameCodec(key), hybrid
+    )
+    timeline.setup(spindle, hybrid)
+    process_metrics.setup(spindle)
+    return spindle
--- a/packages/decisions/src/spindle_decisions/fleet/heard_sets.py
+++ b/packages/decisions/src/spindle_decisions/fleet/heard_sets.py
@@ -1,5 +1,7 @@
 """The sets of processes that control instances heard, as they tell each other."""
 
+import msgspec
+
 from spindle_decisions.fleet.instances_digest import instances_digest
 from spindle_decisions.wire.fleet_hello import FleetHello
 from spindle_decisions.wire.fleet_instance import FleetInstance
@@ -20,14 +22,14 @@
         """Return the digests of the sets that are held here, by who told them."""
         return {name: digest for name, (digest, _) in self.sets.items()}
 
-    def tell(
-        self, receiver: str, heard: tuple[HeardInstance, ...]
-    ) -> tuple[str, tuple[HeardInstance, ...], tuple[int, ...]]:
-        """Return digest, set and ages as the receiver is to get them."""
+    def tell(self, hello: FleetHello, heard: tuple[HeardInstance, ...]) -> FleetHello:
+        """Return the hello with the whole set that is heard here, and what is held here."""
         digest = instances_digest(tuple(item.instance for item in heard))
-        if self.held_by.get(receiver) != digest:
-            return digest, heard, ()
-        return digest, (), tuple(item.age_ms for item in heard)
+        return msgspec.structs.replace(hello, heard=heard, heard_digest=digest, holds=self.holds())
+
+    def is_held_by(self, receiver: str, digest: str) -> bool:
+        """Return whether a control instance said that it holds the set of that digest."""
+        return self.held_by.get(receiver) == digest
 
     def take(self, me: str, hello: FleetHello) -> tuple[HeardInstance, ...]:
         """Take in a hello and return whom its sender heard; nobody if that is not known."""
@@ -47,3 +49,9 @@
         """Forget a control instance that is gone."""
         self.sets.pop(name, None)
         self.held_by.pop(name, None)
+
+
+def with_ages_only(hello: FleetHello) -> FleetHello:
+    """Return the hello for a receiver that holds its set already."""
+    ages_ms = tuple(item.age_ms for item in hello.heard)
+    return msgspec.structs.replace(hello, heard=(), ages_ms=ages_ms)
--- a/tests/daemon/fleet/test_list_reader.py
+++ b/tests/daemon/fleet/test_list_reader.py
@@ -70,6 +70,19 @@
         events = [vars(item)["event"] for item in caught.records]
         self.assertEqual(events, ["list-lost", "list-regained"])
 
+    def test_what_others_read_is_new_once_and_saves_a_read(self) -> None:
+        push = encode_list(create_upstream_list((listed("b", "s1"),)), 500)
+        self.assertTrue(self.reader.take_push(push))
+        self.assertFalse(self.reader.take_push(push))
+        self.clock.at += 0.4
+        self.reader.step()
+        self.assertEqual((self.source.reads, self.news), (0, []))
+
+    def test_a_malformed_push_is_dropped(self) -> None:
+        with self.assertLogs(LOGGER, "WARNING"):
+            self.assertFalse(self.reader.take_push(ListPush("x", 0, b"garbage")))
+        self.assertEqual(self.keeper.held.digest, "")
+
 
 class TestCodec(unittest.TestCase):
     def test_there_and_back(self) -> None:
--- a/tests/decisions/fleet/test_heard_sets.py
+++ b/tests/decisions/fleet/test_heard_sets.py
@@ -3,7 +3,7 @@
 import unittest
 
 from spindle_decisions.fleet import const
-from spindle_decisions.fleet.heard_sets import HeardSets
+from spindle_decisions.fleet.heard_sets import HeardSets, with_ages_only
 from spindle_decisions.wire.fleet_hello import FleetHello
 from spindle_decisions.wire.fleet_instance import FleetInstance
 from spindle_decisions.wire.heard_instance import HeardInstance
@@ -34,16 +34,11 @@
         """Send a hello; return it, and what the other took from it."""
         receiver = OTHER if sender == ME else ME
         own = self.sets[sender]
-        digest, whole, ages_ms = own.tell(receiver, told)
-        hello = FleetHello(
-            instance(sender),
-            "folder",
-            False,
-            whole,
-            heard_digest=digest if told else "",
-            ages_ms=ages_ms,
-            holds=own.holds() if told else {},
-        )
+        hello = FleetHello(instance(sender), "folder", False, ())
+        if told:
+            hello = own.tell(hello, told)
+            if own.is_held_by(receiver, hello.heard_digest):
+                hello = with_ages_only(hello)
         return hello, () if lost else self.sets[receiver].take(receiver, hello)
 
     def met(self) -> None:
