--- a/packages/decisions/src/spindle_decisions/exceptions.py
+++ b/packages/decisions/src/spindle_decisions/exceptions.py
@@ -2,6 +2,8 @@
 
 # What an error says of its input is no longer than this, in characters.
 MAX_TEXT = 400
+# Of a longer one so much is kept; what is between says how much was left out.
+MAX_BEGINNING = 270
 MAX_END = 80
 
 
@@ -245,6 +247,6 @@
     """Return a text that is no longer than `MAX_TEXT` and says what was left out."""
     if len(text) <= MAX_TEXT:
         return text
-    note = f" ... {len(text) - MAX_TEXT} characters left out ... "
-    start = MAX_TEXT - MAX_END - len(note)
-    return text[:start] + note + text[-MAX_END:]
+    left_out = len(text) - MAX_BEGINNING - MAX_END
+    note = f" ... {left_out} characters left out ... "
+    return text[:MAX_BEGINNING] + note + text[-MAX_END:]
--- a/tests/decisions/test_exceptions.py
+++ b/tests/decisions/test_exceptions.py
@@ -1,5 +1,6 @@
 """The texts of errors."""
 
+import re
 import unittest
 
 from nose2.tools import params
@@ -23,4 +24,8 @@
 
     @params(401, 500, 10_000)
     def test_every_length(self, length: int) -> None:
-        self.assertLessEqual(len(shortened("x" * length)), MAX_TEXT)
+        text = shortened("x" * length)
+        self.assertLessEqual(len(text), MAX_TEXT)
+        found = re.search(r"(\d+) characters left out", text)
+        assert found is not None
+        self.assertEqual(int(found[1]) + text.count("x"), length)
