Let the soak tell by the rejected write which full disk ended a process

Cause: a change sent 0.01 s after a full disk ends meets a reading of the fault file that is up to 0.05 s old. Ruled out: a fault of the instances; the failed write is the designed end of the process. Change: the injected fault has a number; a process records its pid and that number before the rejected write raises. The monitor allows one exit for each process and fault that has such a record, whenever it sees it. An exit without a record is a violation now even while a disk is full, which is stricter; a second exit by the same fault stays one. Conclusion: the race was the soak's own; it waits for nothing but what it can observe.

--- a/tests/soak/in_process_faults.py
+++ b/tests/soak/in_process_faults.py
@@ -1,5 +1,7 @@
 """Faults injected into processes: clocks, disks and links between instances."""
 
+import itertools
+
 import msgspec
 
 from tests.soak import const
@@ -19,6 +21,7 @@
         self.environment = environment
         self.process_monitor = process_monitor
         self.injected: dict[str, InjectedFaults] = {}
+        self.full_disk_numbers = itertools.count(1)
 
     def kinds(self) -> dict[str, FaultKind]:
         """Return the faults by kind."""
@@ -37,10 +40,10 @@
 
     def disk_full(self, name: str) -> FaultGenerator:
         """Fail the disk writes of a process as if its disk were full."""
-        self.process_monitor.disk_fault_exits[name] = 0
-        yield from self._inject_temporarily(name, disk_full=True)
+        self.process_monitor.full_disks.add(name)
+        yield from self._inject_temporarily(name, full_disk=next(self.full_disk_numbers))
+        self.process_monitor.full_disks.discard(name)
         self.process_monitor.check(name)
-        self.process_monitor.disk_fault_exits.pop(name, None)
 
     def disk_slow(self, name: str) -> FaultGenerator:
         """Delay each write and sync of a process by `DISK_WAIT_S`."""
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -85,10 +85,12 @@
         with gevent.Timeout(const.SHUTDOWN_TIMEOUT_S + const.TIMING_TOLERANCE_S, False):
             while process.running:
                 gevent.sleep(STOP_POLL_INTERVAL_S)
-        undisturbed = (
-            touched == self.touched[name] and name not in self.process_monitor.disk_fault_exits
-        )
-        if undisturbed and child is not None:
+        undisturbed = touched == self.touched[name]
+        if (
+            undisturbed
+            and child is not None
+            and not self.process_monitor.has_lost_disk(name, child.pid)
+        ):
             exit_code = child.poll()
             expected_codes = (0, -signal.SIGTERM) if is_starting else (0,)
             late = exit_code is None and not self.host_monitor.no_overload_since(started_at)
--- a/tests/soak/process_monitor.py
+++ b/tests/soak/process_monitor.py
@@ -1,5 +1,7 @@
 """Monitors processes for unexpected exits and memory growth."""
 
+from collections import Counter
+
 import gevent
 from bench.process_meter import process_use
 
@@ -15,15 +17,18 @@
 class ProcessMonitor:
     """Checks all processes and restarts those that a disk fault has ended.
 
-    `expected_exits` names the processes that a fault has killed or asked to stop;
-    `disk_fault_exits` counts the exits of each process since its disk became faulty.
+    `expected_exits` names the processes that a fault has killed or asked to stop.
+    `disk_fault_exits` counts the exits by process and by the number of the disk fault
+    that rejected a write of the process that exited. `full_disks` names the processes
+    whose disk is full now.
     """
 
     def __init__(self, environment: SoakEnvironment, results: CheckResults) -> None:
         self.environment = environment
         self.results = results
         self.expected_exits: set[str] = set()
-        self.disk_fault_exits: dict[str, int] = {}
+        self.disk_fault_exits: Counter[tuple[str, int]] = Counter()
+        self.full_disks: set[str] = set()
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -46,13 +51,20 @@
             self.results.check("memory is bounded", resident < const.MAX_RESIDENT_BYTES, name)
             self.results.check("no process ends by itself", True)
             return
-        exits = self.disk_fault_exits.get(name, MAX_EXITS_PER_DISK_FAULT) + 1
-        if name in self.disk_fault_exits:
-            self.disk_fault_exits[name] = exits
-        details = (name, child.returncode, exits)
-        self.results.check("no process ends by itself", exits <= MAX_EXITS_PER_DISK_FAULT, details)
+        rejected = self.environment.rejected_write(name)
+        allowed = False
+        if rejected is not None and rejected.pid == child.pid:
+            self.disk_fault_exits[name, rejected.fault] += 1
+            allowed = self.disk_fault_exits[name, rejected.fault] <= MAX_EXITS_PER_DISK_FAULT
+        details = (name, child.returncode, child.pid, rejected)
+        self.results.check("no process ends by itself", allowed, details)
         self.environment.start_instance(name)
 
+    def has_lost_disk(self, name: str, pid: int) -> bool:
+        """Return whether the disk of a process is full, or was when the process last wrote."""
+        rejected = self.environment.rejected_write(name)
+        return name in self.full_disks or (rejected is not None and rejected.pid == pid)
+
     def _monitor(self) -> None:
         while True:
             for name in self.environment.names:
--- a/tests/soak/soak_environment.py
+++ b/tests/soak/soak_environment.py
@@ -11,8 +11,13 @@
 from tests.fleet.loopback_fleet import LoopbackFleet, wait_until
 from tests.platform.test_upstream_source import VALID_ENTRY
 from tests.soak import const
-from tests.soak.injected_faults import INJECTED_FAULTS_SUFFIX, InjectedFaults
+from tests.soak.injected_faults import (
+    INJECTED_FAULTS_SUFFIX,
+    REJECTED_WRITE_SUFFIX,
+    InjectedFaults,
+)
 from tests.soak.plan_document import SERVICES
+from tests.soak.rejected_write import RejectedWrite
 from tests.soak.soak_execution import SoakExecution
 from tests.soak.upstream import SoakUpstream
 
@@ -75,6 +80,11 @@
         new.write_bytes(msgspec.json.encode(faults))
         new.rename(path)
 
+    def rejected_write(self, name: str) -> RejectedWrite | None:
+        """Return the last write of a process that a full disk rejected, if there is one."""
+        path = self.fleet.folder / f"{name}{REJECTED_WRITE_SUFFIX}"
+        return msgspec.json.decode(path.read_bytes(), type=RejectedWrite) if path.exists() else None
+
     def start_upstream(self, service: str, index: int) -> SoakUpstream:
         """Start a new upstream at a free address."""
         self.upstreams_created += 1
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -16,6 +16,8 @@
 from tests.soak.ledger import CheckResults
 from tests.soak.outcome import Outcome
 from tests.soak.plan_document import LOOKUP_SERVICE, SHARDS
+from tests.soak.process_monitor import ProcessMonitor
+from tests.soak.rejected_write import RejectedWrite
 from tests.soak.shard_records import shard_records
 from tests.soak.soak_execution import SoakExecution
 
@@ -157,6 +159,61 @@
         self.assertEqual(bool(results.violations), violated)
 
 
+class FakeChild:
+    """A process that has ended."""
+
+    pid = 7
+    returncode = -9
+
+
+class FakeProcess:
+    """The handle of a process that has ended."""
+
+    running = False
+
+    def __init__(self) -> None:
+        self.child = FakeChild()
+
+
+class FakeProcesses:
+    """An environment whose only process keeps ending."""
+
+    names = ("core-1",)
+
+    def __init__(self, rejected: RejectedWrite | None) -> None:
+        self.rejected = rejected
+        self.fleet = self
+        self.processes = {"core-1": FakeProcess()}
+        self.starts = 0
+
+    def rejected_write(self, _name: str) -> RejectedWrite | None:
+        return self.rejected
+
+    def start_instance(self, _name: str) -> None:
+        self.starts += 1
+
+
+class TestProcessMonitor(unittest.TestCase):
+    """Regression: an exit seen after the end of the full disk that caused it was a violation."""
+
+    @params(
+        ("first exit by a full disk, seen at any time", RejectedWrite(7, 1), 1, 0),
+        ("second exit by the same full disk", RejectedWrite(7, 1), 2, 1),
+        ("exit without a rejected write", None, 1, 1),
+        ("an earlier process had the rejected write", RejectedWrite(6, 1), 1, 1),
+    )
+    def test_only_a_rejected_write_may_end_a_process(
+        self, _what: str, rejected: RejectedWrite | None, exits: int, violations: int
+    ) -> None:
+        results = CheckResults()
+        processes = FakeProcesses(rejected)
+        monitor = ProcessMonitor(processes, results)  # type: ignore[arg-type]
+        for _ in range(exits):
+            monitor.check("core-1")
+        self.assertEqual(len(results.violations), violations)
+        self.assertEqual(processes.starts, exits)
+
+
 class TestCheckResults(unittest.TestCase):
     def test_failed_greenlet_is_a_violation(self) -> None:
         results = CheckResults()
--- a/tests/soak/warped_start.py
+++ b/tests/soak/warped_start.py
@@ -17,7 +17,12 @@
 from spindle_daemon.mesh.transport import MeshTransport
 from spindle_daemon.storage import patient_open
 from spindle_daemon.storage.os_file_access import OsFileAccess
-from tests.soak.injected_faults import INJECTED_FAULTS_SUFFIX, InjectedFaults
+from tests.soak.injected_faults import (
+    INJECTED_FAULTS_SUFFIX,
+    REJECTED_WRITE_SUFFIX,
+    InjectedFaults,
+)
+from tests.soak.rejected_write import RejectedWrite
 
 READ_INTERVAL_S = 0.05
 
@@ -44,11 +49,24 @@
 
     def apply_disk_faults(self) -> None:
         """Wait while the disk is slow; raises `OSError` while it is full."""
-        if self.current().disk_full:
+        if self.current().full_disk:
             raise OSError(errno.ENOSPC, "No space left on device")
         if self.faults.disk_wait_s:
             time.sleep(self.faults.disk_wait_s)
 
+    def apply_write_faults(self) -> None:
+        """Apply the faults of the disk to a write; a rejected write is recorded in a file.
+
+        A rejected write ends the process. The record tells the soak which fault ended it,
+        however long after the end of the fault the exit is seen.
+        """
+        try:
+            self.apply_disk_faults()
+        except OSError:
+            rejected = RejectedWrite(os.getpid(), self.faults.full_disk)
+            self.path.with_suffix(REJECTED_WRITE_SUFFIX).write_bytes(msgspec.json.encode(rejected))
+            raise
+
 
 def install(file: InjectionFile) -> None:
     """Wrap the calls into which faults are injected."""
@@ -59,11 +77,11 @@
         return wall_ms(clock) + file.current().wall_offset_ms
 
     def faulty_write(access: OsFileAccess, fd: int, data: bytes, offset: int) -> None:
-        file.apply_disk_faults()
+        file.apply_write_faults()
         write(access, fd, data, offset)
 
     def faulty_sync(access: OsFileAccess, fd: int) -> None:
-        file.apply_disk_faults()
+        file.apply_write_faults()
         sync(access, fd)
 
     def faulty_probe(path: pathlib.Path) -> None:
