--- /dev/null
+++ b/tests/script/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the scripts that a developer runs."""
