Wait for a connection, and do not spin while a shard has no upstream

Cause: a gather whose shard had no upstream with a free connection gave the shard up at once. Found on the way: next_tick_at named the hedge time as long as any shard without a part was not hedged, but tick hedges only what is in flight. So a gather with one shard that had no upstream ran its loop without a pause from the hedge time to its end. Change: a shard waits for a connection if its turn is expected within half of the time left to the aim; connections go to the first that waits. Replicas that are ejected, unreachable or stalled do not count. Who cannot be served so is refused at once, before anything is sent, with 503: not run is true then. The hedge delay counts from the sending of each shard.

--- a/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -29,7 +29,9 @@
         self.route = route
         now = attempt_pool.clock.now()
         limit_s = time_left_s(attempt_pool.request, route, now)
-        self.gather = GatherExecution(route, routing_state, now, limit_s)
+        self.gather = GatherExecution(
+            route, routing_state, now, limit_s, wake=attempt_pool.wake.set
+        )
 
     def run(self) -> RoutedResponse | None:
         """Return the answer, `None` if the caller disconnected; raises `RefusalError`."""
@@ -52,6 +54,7 @@
                 self._on_result(result)
             if gather.outcome is None:
                 self._start_attempts(gather.tick(clock.now()))
+        gather.close()
         if not self.attempt_pool.caller_gone:
             self.attempt_pool.cancel_after_grace()
 
@@ -77,12 +80,15 @@
         shards = self.gather.shards
         self.attempt_pool.trace.record_gather_outcome(outcome.reason, len(parts), len(shards))
         self.attempt_pool.trace.not_sent_shards = [
-            shard.service for shard in shards if not shard.tried_replicas
+            shard.service for shard in shards if shard.given_up and not shard.tried_replicas
         ]
         if outcome.answered:
             return self._merged(parts)
         if not self.attempt_pool.trace.attempt_count:
-            raise OverloadedError("no upstream may be used now")
+            unsent = len(self.attempt_pool.trace.not_sent_shards)
+            raise OverloadedError(
+                f"{unsent} of {len(shards)} shards have no upstream with a free connection"
+            )
         raise create_gather_refusal(outcome.reason)
 
     def _parts(self) -> list[RawReply]:
--- a/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
@@ -44,6 +44,7 @@
             raise
         finally:
             replica.record_finished(attempt_id)
+            self.replicas.connection_queue.notify(replica.listed.service)
 
     def _exchange(self, attempt_request: AttemptRequest, started: float) -> AttemptResult:
         attempt, replica = attempt_request.attempt, attempt_request.attempt.replica
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -58,6 +58,9 @@
 # the grace time at least this many are assumed, and the budget's burst is not used.
 STARTUP_MIN_INSTANCES = 8
 STARTUP_GRACE_S = 2.5
+# A request waits for a connection if its turn is expected within this fraction of the time
+# left until the aim.
+CONNECTION_WAIT_RATIO = 0.5
 # Share of an upstream's connections that is divided; the rest is for new instances.
 SHARED_CONNECTION_RATIO = 0.85
 # With fewer connections per instance to an upstream than this, shards are queried
--- a/packages/decisions/src/spindle_decisions/routing/gather_execution.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_execution.py
@@ -1,11 +1,14 @@
 """State machine of one scatter-gather request."""
 
+from collections.abc import Callable
+
 from spindle_decisions.routing import attempt_cause, const
 from spindle_decisions.routing.gather_outcome import GatherOutcome
 from spindle_decisions.routing.gather_shard import GatherShard
 from spindle_decisions.routing.route import Route
 from spindle_decisions.routing.routing_state import RoutingState
 from spindle_decisions.routing.upstream_attempt import UpstreamAttempt, next_attempt_id
+from spindle_decisions.routing.waiting_attempt import WaitingAttempt
 from spindle_decisions.util.units import MS_PER_S
 
 
@@ -15,7 +18,11 @@
     A partial answer within the aim is worth the square of the share of parts that it
     has. A whole answer after the aim is worth only a small fraction of one within it. So
     once the least share of parts has arrived, the request ends at the aim at the
-    latest, and before the aim only when no further part can arrive. Example:
+    latest, and before the aim only when no further part can arrive.
+
+    A shard whose upstreams have no free connection waits for one if its turn comes soon
+    enough; `wake` is called when it has come, and `tick` must follow. A request that is
+    doomed before anything was sent sends nothing. Example:
 
         gather = GatherExecution(route, state, now, limit_s)
         attempts = gather.start(now)
@@ -23,13 +30,21 @@
         if gather.outcome is not None: ...
     """
 
-    def __init__(self, route: Route, state: RoutingState, now: float, limit_s: float) -> None:
+    def __init__(
+        self,
+        route: Route,
+        state: RoutingState,
+        now: float,
+        limit_s: float,
+        wake: Callable[[], object] = lambda: None,
+    ) -> None:
         self.route = route
         self.state = state
+        self.wake = wake
         self.shards = [GatherShard(service) for service in route.shards]
         self.median_latency = state.median_latency(route)
         aim_s = route.aim_ms / MS_PER_S
-        self.hedge_at = now + self.median_latency.hedge_delay_s(aim_s)
+        self.hedge_delay_s = self.median_latency.hedge_delay_s(aim_s)
         self.aim_at = now + max(0.0, aim_s - const.RESPONSE_MARGIN_S)
         self.end_at = now + limit_s
         self.missing = len(self.shards)
@@ -39,12 +54,18 @@
         self.attempts: dict[int, UpstreamAttempt] = {}
 
     def start(self, now: float) -> list[UpstreamAttempt]:
-        """Start the first attempts; return one for each shard that has a usable upstream."""
+        """Start the first attempts; return one for each shard that has a usable upstream.
+
+        Nothing is started if too few shards can answer.
+        """
         attempts = []
         for shard_index, shard in enumerate(self.shards):
             self.state.retry_budget(shard.service).record_request(now)
             attempts.append(self._start_attempt(shard_index, attempt_cause.FIRST, now))
         self._update_outcome(now)
+        if self.outcome is not None and not self.outcome.answered:
+            self._withdraw_attempts()
+            return []
         return [attempt for attempt in attempts if attempt is not None]
 
     def on_response(self, attempt_id: int, part: object, now: float) -> None:
@@ -81,15 +102,10 @@
 
     def tick(self, now: float) -> list[UpstreamAttempt]:
         """Update the outcome for the time `now`; return the hedges that are due."""
-        attempts = []
-        if now >= self.hedge_at and self.outcome is None:
+        attempts = self._start_waiting(now)
+        if self.outcome is None:
             for shard_index, shard in enumerate(self.shards):
-                if (
-                    shard.part is None
-                    and not shard.given_up
-                    and not shard.hedged
-                    and shard.in_flight
-                ):
+                if shard.may_hedge() and now >= shard.sent_at + self.hedge_delay_s:
                     shard.hedged = True
                     attempt = self._start_attempt(shard_index, attempt_cause.HEDGE, now)
                     if attempt is not None:
@@ -100,12 +116,20 @@
     def next_tick_at(self) -> float:
         """Return the time of the next call of `tick`."""
         times = [self.end_at]
-        if any(not shard.hedged and shard.part is None for shard in self.shards):
-            times.append(self.hedge_at)
-        if self.missing <= self.max_missing:
+        sent_at = [shard.sent_at for shard in self.shards if shard.may_hedge()]
+        if sent_at:
+            times.append(min(sent_at) + self.hedge_delay_s)
+        if self.missing <= self.max_missing or any(shard.waiting for shard in self.shards):
             times.append(self.aim_at)
         return min(times)
 
+    def close(self) -> None:
+        """End all waiting; free connections that were offered are offered to others."""
+        for shard in self.shards:
+            waiting, shard.waiting = shard.waiting, None
+            if waiting is not None and waiting.notified:
+                self.state.replicas.connection_queue.notify(shard.service)
+
     def _start_attempt(
         self, shard_index: int, cause: str, now: float, is_replacement: bool = False
     ) -> UpstreamAttempt | None:
@@ -124,16 +148,69 @@
         ):
             replica = None
         if replica is None:
-            if not shard.in_flight and not shard.given_up:
-                shard.given_up = True
-                self.given_up_count += 1
+            if not shard.in_flight and not self._wait(shard, cause, now, is_replacement):
+                self._give_up(shard)
             return None
         attempt = UpstreamAttempt(next_attempt_id(), shard_index, replica, cause)
         shard.tried_replicas.append(replica)
         shard.in_flight[attempt.attempt_id] = now
+        shard.sent_at = now
         self.attempts[attempt.attempt_id] = attempt
         return attempt
 
+    def _give_up(self, shard: GatherShard) -> None:
+        if not shard.given_up:
+            shard.given_up = True
+            self.given_up_count += 1
+
+    def _wait(self, shard: GatherShard, cause: str, now: float, is_replacement: bool) -> bool:
+        """Queue an attempt for a connection; return whether its turn is expected in time."""
+        wait_s = self.state.replicas.connection_wait_s(
+            shard.service, now, self.median_latency.seconds, tuple(shard.tried_replicas)
+        )
+        attempt_count = len(shard.tried_replicas) - shard.not_sent_count
+        if attempt_count >= self.route.max_attempts or wait_s > const.CONNECTION_WAIT_RATIO * (
+            self.aim_at - now
+        ):
+            return False
+        waiting = WaitingAttempt(cause, is_replacement)
+        shard.waiting = waiting
+
+        def offer() -> bool:
+            if shard.waiting is not waiting:
+                return False
+            waiting.notified = True
+            self.wake()
+            return True
+
+        self.state.replicas.connection_queue.add(shard.service, offer)
+        return True
+
+    def _start_waiting(self, now: float) -> list[UpstreamAttempt]:
+        """Start the attempts that have a connection now; at the aim, give up the others."""
+        attempts = []
+        for shard_index, shard in enumerate(self.shards):
+            waiting = shard.waiting
+            if waiting is None or self.outcome is not None:
+                continue
+            if waiting.notified:
+                shard.waiting = None
+                attempt = self._start_attempt(
+                    shard_index, waiting.cause, now, waiting.is_replacement
+                )
+                if attempt is not None:
+                    attempts.append(attempt)
+            elif now >= self.aim_at:
+                shard.waiting = None
+                self._give_up(shard)
+        return attempts
+
+    def _withdraw_attempts(self) -> None:
+        self.attempts.clear()
+        for shard in self.shards:
+            shard.in_flight.clear()
+            shard.tried_replicas.clear()
+
     def _update_outcome(self, now: float) -> None:
         if self.outcome is not None:
             return
--- a/packages/decisions/src/spindle_decisions/routing/gather_shard.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_shard.py
@@ -3,15 +3,16 @@
 import dataclasses
 
 from spindle_decisions.routing.replica import Replica
+from spindle_decisions.routing.waiting_attempt import WaitingAttempt
 
 
 @dataclasses.dataclass
 class GatherShard:
     """Attempts of one shard and the part that it returned.
 
-    `in_flight` maps attempt ids to the times of sending. `not_sent_count` counts the
-    `tried_replicas` to which no byte was sent. `given_up` is set once no attempt is in
-    flight and none can follow.
+    `sent_at` is the time of the newest attempt. `in_flight` maps attempt ids to the times of sending. `not_sent_count` counts the
+    `tried_replicas` to which no byte was sent. `waiting` is the attempt that waits for
+    a connection. `given_up` is set once no attempt is in flight and none can follow.
     """
 
     service: str
@@ -21,3 +22,9 @@
     given_up: bool = False
     not_sent_count: int = 0
     hedged: bool = False
+    sent_at: float = 0.0
+    waiting: WaitingAttempt | None = None
+
+    def may_hedge(self) -> bool:
+        """Return whether a hedge can still be sent beside the attempt in flight."""
+        return bool(self.in_flight) and self.part is None and not self.hedged
--- a/packages/decisions/src/spindle_decisions/routing/replica_pool.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica_pool.py
@@ -1,9 +1,11 @@
 """Replicas of all services and the selection among them."""
 
+import math
 import random
 from collections.abc import Container
 
 from spindle_decisions.routing import const
+from spindle_decisions.routing.connection_queue import ConnectionQueue
 from spindle_decisions.routing.data_center_reachability import DataCenterReachability
 from spindle_decisions.routing.listed_upstream import ListedUpstream
 from spindle_decisions.routing.replica import Replica
@@ -21,6 +23,7 @@
         self.data_center = data_center
         self.rng = rng
         self.reachability = DataCenterReachability()
+        self.connection_queue = ConnectionQueue()
         self.replicas: dict[str, Replica] = {}
         self.by_service: dict[str, list[Replica]] = {}
 
@@ -63,6 +66,27 @@
         healthy = [item for item in available if self.is_healthy(item, now)]
         return min(healthy or available, key=lambda item: self.score(item, now, median_s))
 
+    def connection_wait_s(
+        self, service: str, now: float, median_s: float, tried: tuple[Replica, ...] = ()
+    ) -> float:
+        """Return the expected wait in seconds for a connection to a service.
+
+        It is infinite if no replica is at its limit only for now: a replica that is
+        ejected, unreachable or has a stalled request frees no connection soon.
+        """
+        busy_slots = sum(
+            min(item.connection_share, item.listed.slots)
+            for item in self.by_service.get(service, ())
+            if item.is_ready()
+            and item not in tried
+            and item.is_at_connection_limit()
+            and self.is_healthy(item, now)
+            and not item.stalled_s(now, median_s * item.latency_factor(now))
+        )
+        if not busy_slots:
+            return math.inf
+        return (self.connection_queue.length(service) + 1) * median_s / busy_slots
+
     def is_healthy(self, replica: Replica, now: float) -> bool:
         """Return whether a replica is not ejected and its data centre is reachable."""
         unreachable = self.reachability.is_unreachable(replica.listed.data_center, now)
--- a/tests/decisions/routing/test_gather_execution.py
+++ b/tests/decisions/routing/test_gather_execution.py
@@ -119,6 +119,25 @@
                 pass
         self.assertEqual(self.gather.tick(self.gather.next_tick_at()), [])
 
+    def test_next_tick_lies_ahead_while_a_shard_has_no_upstream(self) -> None:
+        """Regression: a shard that could not be hedged kept the runner in a busy loop."""
+        self.start()
+        self.state.replicas.update_upstreams(
+            NOW, tuple(listed(f"u{number}", f"s{number}") for number in range(3))
+        )
+        gather = GatherExecution(gather_route(), self.state, NOW, LIMIT_S)
+        gather.start(NOW)
+        now = NOW
+        for _ in range(5):
+            next_at = gather.next_tick_at()
+            self.assertGreater(next_at, now)
+            now = next_at
+            gather.tick(now)
+            if gather.outcome is not None or now >= NOW + LIMIT_S:
+                break
+        else:
+            self.fail("the gather is woken more often than it has anything to do")
+
     def test_shards_without_upstreams_are_given_up_at_the_start(self) -> None:
         self.start()
         self.state.replicas.update_upstreams(NOW, (listed("a", "s0"), listed("b", "s1")))
