Report a silent owner of shards to its peers, and probe it instead of asking it

With a least share of 0.95 the loss of one owner of five shards of 90 fails the request, which then waited until its deadline. An owner whose answer came a few milliseconds after the check, or an asker that was itself paused, put living owners aside for 3 s. Ways weighed: to ask a second owner within the request (it cannot be known how many upstreams the first has asked already, the route allows two); membership by control alone (slower than the loss); a report that is believed (one paused instance would put all owners aside). Change: an owner that did not respond is probed at once with a sub-request without shards. Without a prompt answer it is reported to the peers of its data centre, each of which probes it itself. It is asked again when it answers a probe within 0.1 s; no caller's request is spent on that. The check is skipped when it comes late, as then the asker was paused. A request that lacks only parts of owners that answer no probe ends 0.1 s after the aim with 502, so that its caller still has time to try another instance.

--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -63,7 +63,9 @@
         self.upstream_client = UpstreamClient(
             spindle.clock, adapter.headers, self.routing_state.replicas
         )
-        self.owner_rpc = OwnerRpc(spindle, self.upstream_client, self.routing_state)
+        self.owner_rpc = OwnerRpc(
+            spindle, self.upstream_client, self.routing_state, lambda: fleet.peers
+        )
         spindle.bus.listen(PlanUpdated, self._on_plan_updated)
         spindle.bus.listen(UpstreamListUpdated, self._on_upstream_list_updated)
 
@@ -119,9 +121,7 @@
         if not self.routing_state.admit_request(route, self.spindle.clock.now()):
             raise OverloadedError("too few upstreams can be reached")
         if route.shards and self.routing_state.uses_shard_owners and len(self.fleet.peers) > 1:
-            fanout_runner = OwnerFanoutRunner(
-                self.owner_rpc, self.fleet.peers, route, request, trace
-            )
+            fanout_runner = OwnerFanoutRunner(self.owner_rpc, route, request, trace)
             return with_disconnect_watch(fanout_runner.run, caller, fanout_runner.on_caller_gone)
         attempt_pool = AttemptPool(self.spindle.clock, self.upstream_client, request, trace)
         runner_type = GatherRunner if route.shards else SingleRunner
--- a/packages/daemon/src/spindle_daemon/components/routed/gather_response.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_response.py
@@ -11,6 +11,8 @@
     """Return the refusal for a gather that ended with too few parts for this reason."""
     if reason == "deadline":
         return DeadlineExceededError("too few shards answered in time")
+    if reason == "silent":
+        return PartsFailedError("owners of too many shards did not respond")
     return PartsFailedError("too few shards answered")
 
 
--- a/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
@@ -12,12 +12,15 @@
 from spindle_daemon.components.routed.routed_request import RoutedRequest
 from spindle_daemon.components.routed.upstream_client import UpstreamClient
 from spindle_daemon.core.spindle import Spindle
-from spindle_decisions.routing.const import OWNER_BACKOFF_S
+from spindle_decisions.routing.const import OWNER_PROBE_MAX_PAUSE_S, OWNER_PROBE_TIMEOUT_S
+from spindle_decisions.routing.owner_liveness import OwnerLiveness
 from spindle_decisions.routing.route import Route
 from spindle_decisions.routing.routing_state import RoutingState
 from spindle_decisions.routing.upstream_attempt import next_attempt_id
 from spindle_decisions.util.units import MS_PER_S
+from spindle_decisions.wire.caller_request import CallerRequest
 from spindle_decisions.wire.fleet_instance import FleetInstance
+from spindle_decisions.wire.owner_suspicion import OwnerSuspicion
 from spindle_decisions.wire.spread_question import SpreadQuestion
 from spindle_decisions.wire.spread_reply import SpreadReply
 
@@ -27,35 +30,39 @@
 
 
 class OwnerRpc:
-    """Answers sub-requests for shards owned here, and sends sub-requests to other owners."""
+    """Answers sub-requests for shards owned here, and sends sub-requests to other owners.
+
+    An owner that does not respond is probed: with a sub-request without shards, which is
+    answered at once. If it does not answer that either, it is reported to all peers, so
+    that only the requests of one instance are spent on it. Each peer probes it itself.
+    """
 
     def __init__(
-        self, spindle: Spindle, upstream_client: UpstreamClient, routing_state: RoutingState
+        self,
+        spindle: Spindle,
+        upstream_client: UpstreamClient,
+        routing_state: RoutingState,
+        peers: Callable[[], tuple[FleetInstance, ...]],
     ) -> None:
         self.spindle = spindle
         self.upstream_client = upstream_client
         self.routing_state = routing_state
         self.name = spindle.settings.instance.name
         self.pending: dict[int, ReplyListener] = {}
-        self.backoff_until: dict[str, float] = {}
+        self.peers = peers
+        self.liveness = OwnerLiveness(self.name)
+        self.is_probing = False
         spindle.transport.register_handler(SpreadQuestion, self._on_question)
         spindle.transport.register_handler(SpreadReply, self._on_reply)
+        spindle.transport.register_handler(OwnerSuspicion, self._on_suspicion)
 
-    def usable_owners(self, peers: tuple[FleetInstance, ...]) -> tuple[FleetInstance, ...]:
-        """Return the peers without a recent timeout; this instance is always included."""
-        now = self.spindle.clock.now()
-        return tuple(
-            peer
-            for peer in peers
-            if peer.name == self.name or now >= self.backoff_until.get(peer.name, 0.0)
-        )
+    def usable_owners(self) -> tuple[FleetInstance, ...]:
+        """Return the peers that are not suspected; this instance is always included."""
+        return self.liveness.usable(self.peers())
 
     def record_timeout(self, name: str) -> None:
-        """Exclude an owner that did not respond, for the next `OWNER_BACKOFF_S`."""
-        if name == self.name:
-            return
-        self.backoff_until[name] = self.spindle.clock.now() + OWNER_BACKOFF_S
-        _LOGGER.info("routed: owner-silent", extra={"event": "owner-silent", "peer": name})
+        """Suspect an owner that did not respond in time."""
+        self._suspect(name, self.name)
 
     def query_owner(
         self, owner: FleetInstance, question: SpreadQuestion, listener: ReplyListener
@@ -75,9 +82,72 @@
     def _on_reply(self, _sender: str, reply: SpreadReply) -> None:
         listener = self.pending.pop(reply.seq, None)
         if listener is not None:
-            self.backoff_until.pop(reply.owner, None)
             listener(reply)
 
+    def _on_suspicion(self, sender: str, suspicion: OwnerSuspicion) -> None:
+        self._suspect(suspicion.owner, sender)
+
+    def _suspect(self, name: str, reporter: str) -> None:
+        if not self.liveness.suspect(name, self.spindle.clock.now()):
+            return
+        gevent.spawn_later(OWNER_PROBE_TIMEOUT_S, self._confirm, name, reporter)
+        if not self.is_probing:
+            self.is_probing = True
+            gevent.spawn(self._probe_suspected)
+
+    def _confirm(self, name: str, reporter: str) -> None:
+        """Log that a suspected owner did not answer its first probe; report an own finding."""
+        if name not in self.liveness.suspected:
+            return
+        fields = {"event": "owner-silent", "peer": name, "reporter": reporter}
+        _LOGGER.info("routed: owner-silent", extra=fields)
+        if reporter != self.name:
+            return
+        report = OwnerSuspicion(name)
+        for peer in self.peers():
+            if peer.name not in (self.name, name):
+                self.spindle.transport.send(peer.address, report)
+
+    def _probe_suspected(self) -> None:
+        """Probe the suspected owners until none is left."""
+        try:
+            while (next_at := self.liveness.next_probe_at()) is not None:
+                gevent.sleep(max(0.0, next_at - self.spindle.clock.now()))
+                self.liveness.retain(peer.name for peer in self.peers())
+                due = set(self.liveness.due_probes(self.spindle.clock.now()))
+                for peer in self.peers():
+                    if peer.name in due:
+                        self._probe(peer)
+        finally:
+            self.is_probing = False
+
+    def _probe(self, owner: FleetInstance) -> None:
+        sent_at = self.spindle.clock.now()
+
+        def on_reply(_reply: SpreadReply) -> None:
+            took_s = self.spindle.clock.now() - sent_at
+            if self.liveness.record_probe_reply(owner.name, took_s):
+                fields = {"event": "owner-back", "peer": owner.name, "ms": round(took_s * MS_PER_S)}
+                _LOGGER.info("routed: owner-back", extra=fields)
+
+        self.query_owner(owner, self._probe_question(), on_reply)
+
+    def _probe_question(self) -> SpreadQuestion:
+        request = CallerRequest(
+            method="", target="", host="", headers=(), body=b"", has_body=False, request_id=""
+        )
+        return SpreadQuestion(
+            seq=0,
+            reply_to=self.spindle.settings.mesh.advertise,
+            shards=(),
+            top_records=0,
+            route="",
+            max_attempts=0,
+            aim_left_ms=1,
+            left_ms=int(OWNER_PROBE_MAX_PAUSE_S * MS_PER_S),
+            request=request,
+        )
+
     def _on_question(self, _sender: str, question: SpreadQuestion) -> None:
         gevent.spawn(self._answer, question)
 
@@ -85,6 +155,8 @@
         self.spindle.transport.send(question.reply_to, self._gather(question))
 
     def _gather(self, question: SpreadQuestion) -> SpreadReply:
+        if not question.shards:
+            return SpreadReply(question.seq, self.name, (), b"", 0)
         trace = RequestTrace()
         deadline_s = question.left_ms / MS_PER_S
         request = RoutedRequest(question.request, deadline_s, self.spindle.clock.now())
--- a/packages/daemon/src/spindle_daemon/components/routed/owner_fanout_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_fanout_runner.py
@@ -19,7 +19,6 @@
 from spindle_decisions.routing.records import merge_top_records
 from spindle_decisions.routing.route import Route
 from spindle_decisions.util.units import MS_PER_S
-from spindle_decisions.wire.fleet_instance import FleetInstance
 from spindle_decisions.wire.spread_question import SpreadQuestion
 from spindle_decisions.wire.spread_reply import SpreadReply
 
@@ -30,7 +29,6 @@
     def __init__(
         self,
         owner_rpc: OwnerRpc,
-        peers: tuple[FleetInstance, ...],
         route: Route,
         request: RoutedRequest,
         trace: RequestTrace,
@@ -42,7 +40,7 @@
         self.trace = trace
         now = self.clock.now()
         limit_s = time_left_s(request, route, now)
-        self.fanout = OwnerFanout(route, owner_rpc.usable_owners(peers), now, limit_s)
+        self.fanout = OwnerFanout(route, owner_rpc.usable_owners(), now, limit_s)
         self.replies: deque[tuple[int, SpreadReply]] = deque()
         self.wake = Event()
         self.caller_gone = False
@@ -57,13 +55,17 @@
             while self.replies:
                 self._on_reply(*self.replies.popleft())
             if fanout.outcome is None:
-                fanout.tick(self.clock.now())
-        if self.caller_gone:
-            return None
-        for owner_request in fanout.in_flight.values():
-            if owner_request.owner.name in fanout.unresponsive:
-                self.owner_rpc.record_timeout(owner_request.owner.name)
-        return self._answer()
+                self._tick()
+        return None if self.caller_gone else self._answer()
+
+    def _tick(self) -> None:
+        fanout, now = self.fanout, self.clock.now()
+        checked = fanout.timeout_checked
+        fanout.tick(now)
+        if not checked:
+            for name in fanout.unresponsive:
+                self.owner_rpc.record_timeout(name)
+        fanout.check_silence(self.owner_rpc.liveness.suspected, now)
 
     def on_caller_gone(self) -> None:
         """End the request; the owners end their part by themselves at the aim."""
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -71,5 +71,11 @@
 # An owner that has responded neither within this fraction of the aim nor by the end of
 # the request counts as unresponsive.
 OWNER_TIMEOUT_RATIO = 0.7
-# How long an unresponsive owner is not asked.
-OWNER_BACKOFF_S = 3.0
+# A check for unresponsive owners that comes later than this has been delayed by a pause of
+# this instance; the owners are not to blame for it.
+OWNER_CHECK_MAX_DELAY_S = 0.05
+# Pause between two probes of a suspected owner: at first, and at most. It doubles each time.
+OWNER_PROBE_MIN_PAUSE_S = 0.2
+OWNER_PROBE_MAX_PAUSE_S = 1.0
+# An owner that takes longer to answer a probe is too slow to be asked.
+OWNER_PROBE_TIMEOUT_S = 0.1
--- a/packages/decisions/src/spindle_decisions/routing/gather_outcome.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_outcome.py
@@ -9,7 +9,7 @@
 
     `reason` is `whole` (all parts arrived), `aim` (enough parts at the aim), `settled`
     (enough parts, and no further one can arrive), `doomed` (too few parts can still
-    arrive) or `deadline`.
+    arrive), `silent` (owners of the missing shards do not respond) or `deadline`.
     """
 
     reason: str
--- a/packages/decisions/src/spindle_decisions/routing/gather_shard.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_shard.py
@@ -10,9 +10,10 @@
 class GatherShard:
     """Attempts of one shard and the part that it returned.
 
-    `sent_at` is the time of the newest attempt. `in_flight` maps attempt ids to the times of sending. `not_sent_count` counts the
-    `tried_replicas` to which no byte was sent. `waiting` is the attempt that waits for
-    a connection. `given_up` is set once no attempt is in flight and none can follow.
+    `in_flight` maps attempt ids to the times of sending, of which `sent_at` is the
+    newest. `not_sent_count` counts the `tried_replicas` to which no byte was sent.
+    `waiting` is the attempt that waits for a connection. `given_up` is set once no
+    attempt is in flight and none can follow.
     """
 
     service: str
--- a/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
+++ b/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
@@ -1,5 +1,7 @@
 """State machine of a scatter-gather request through shard owners."""
 
+from collections.abc import Container
+
 from spindle_decisions.routing import const
 from spindle_decisions.routing.gather_execution import min_parts
 from spindle_decisions.routing.gather_outcome import GatherOutcome
@@ -17,7 +19,9 @@
 
     Within a request no other owner is asked for the shards of an unresponsive one: it
     is unknown which upstreams that one has asked, and both together could ask more
-    upstreams than the route allows. Later requests skip the unresponsive owner.
+    upstreams than the route allows. Later requests skip the unresponsive owner. A
+    request that lacks only the parts of owners that answer no probe either ends soon
+    after the aim, while its caller can still try another instance.
 
     `responded_shards` counts the shards of the owners that responded, `answered_shards`
     those of them for which an upstream answered.
@@ -31,6 +35,7 @@
         aim_s = route.aim_ms / MS_PER_S
         self.aim_at = now + max(0.0, aim_s - const.RESPONSE_MARGIN_S)
         self.owner_timeout_at = now + const.OWNER_TIMEOUT_RATIO * aim_s
+        self.give_up_at = max(self.aim_at, self.owner_timeout_at) + const.OWNER_PROBE_TIMEOUT_S
         self.end_at = now + limit_s
         self.responded_shards = 0
         self.responses: list[OwnerResponse] = []
@@ -38,6 +43,7 @@
         self.in_flight: dict[int, OwnerRequest] = {}
         self.unresponsive: set[str] = set()
         self.timeout_checked = False
+        self.silence_checked = False
         self.outcome: GatherOutcome | None = None
 
     def start(self) -> list[OwnerRequest]:
@@ -61,14 +67,25 @@
         """Update the outcome and the unresponsive owners for the time `now`."""
         if not self.timeout_checked and now >= self.owner_timeout_at:
             self.timeout_checked = True
-            self.unresponsive = {request.owner.name for request in self.in_flight.values()}
+            if now <= self.owner_timeout_at + const.OWNER_CHECK_MAX_DELAY_S:
+                self.unresponsive = {request.owner.name for request in self.in_flight.values()}
         self._update_outcome(now)
 
+    def check_silence(self, silent: Container[str], now: float) -> None:
+        """At `give_up_at`, end the request if only parts of `silent` owners are missing."""
+        if self.silence_checked or now < self.give_up_at or self.outcome is not None:
+            return
+        self.silence_checked = True
+        if all(request.owner.name in silent for request in self.in_flight.values()):
+            self.outcome = GatherOutcome("silent", self._has_enough())
+
     def next_tick_at(self) -> float:
         """Return the time of the next call of `tick`."""
         times = [self.end_at]
         if not self.timeout_checked:
             times.append(self.owner_timeout_at)
+        if not self.silence_checked:
+            times.append(self.give_up_at)
         if self._has_enough():
             times.append(self.aim_at)
         return min(times)
--- a/packages/decisions/src/spindle_decisions/wire/message.py
+++ b/packages/decisions/src/spindle_decisions/wire/message.py
@@ -12,6 +12,7 @@
 from spindle_decisions.wire.heartbeat_ack import HeartbeatAck
 from spindle_decisions.wire.leave import Leave
 from spindle_decisions.wire.list_push import ListPush
+from spindle_decisions.wire.owner_suspicion import OwnerSuspicion
 from spindle_decisions.wire.plan_push import PlanPush
 from spindle_decisions.wire.propose import Propose
 from spindle_decisions.wire.propose_reply import ProposeReply
@@ -41,6 +42,7 @@
     | RaftPacket
     | SpreadQuestion
     | SpreadReply
+    | OwnerSuspicion
     | StatusWanted
     | SummaryAck
     | SummaryReport
--- a/tests/decisions/routing/test_owner_fanout.py
+++ b/tests/decisions/routing/test_owner_fanout.py
@@ -80,6 +80,33 @@
         )
         self.assertEqual(self.outcome(), ("whole", True))
 
+    def test_pause_of_this_instance_is_not_blamed_on_the_owners(self) -> None:
+        self.start(0.99)
+        self.fanout.tick(self.fanout.owner_timeout_at + 3.0)
+        self.assertEqual(self.fanout.unresponsive, set())
+
+    @params((True, ("silent", False)), (False, None))
+    def test_ends_soon_after_the_aim_if_only_silent_owners_are_missing(
+        self, is_silent: bool, expected: tuple[str, bool] | None
+    ) -> None:
+        missing, *others = self.start(0.99)
+        for request in others:
+            self.fanout.on_owner_response(
+                request.request_token, owner_response(request), NOW + 0.02
+            )
+        silent = {missing.owner.name} if is_silent else set()
+        now, ticks = NOW, 0
+        while self.outcome() is None and now < self.fanout.end_at:
+            self.assertGreater(self.fanout.next_tick_at(), now)
+            now, ticks = self.fanout.next_tick_at(), ticks + 1
+            self.fanout.check_silence(silent, now)
+            if self.outcome() is None and now < self.fanout.end_at:
+                self.fanout.tick(now)
+        self.assertEqual(self.outcome(), expected)
+        self.assertLessEqual(ticks, 3)
+        if is_silent:
+            self.assertLess(now, NOW + 2.5 * AIM_S)
+
     @params((0.5, ("aim", True)), (0.99, None))
     def test_ends_at_the_aim_with_the_least_share(
         self, least_share: float, expected: tuple[str, bool] | None
