Let owners of shards go on after the aim, until they are told to stop

An owner ended its part at the aim with what it had, since it does not know how many parts the whole needs; the asker then had nothing left to wait for and said 502. Without owners a gather goes on until the least share is there, as it should. Ways weighed: owners that always wait for the deadline (work for nobody on every partial answer); a second question at the aim (its answers come a round trip later, and the first attempts are gone); a least share for each owner (the share holds for the sum, not for each). Change: at the aim an owner sends what it has, and then each later part in a reply of its own; the asker says stop as soon as the request has ended or its caller has left. A reply has a number, so that one that comes twice is not counted twice. A sub-request that was cancelled before its owner read it, as after a pause, is not started at all.

--- a/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -1,5 +1,7 @@
 """Runner of scatter-gather requests."""
 
+from collections.abc import Callable
+
 from spindle_daemon.components.routed.attempt_pool import AttemptPool
 from spindle_daemon.components.routed.attempt_result import AttemptResult
 from spindle_daemon.components.routed.gather_response import (
@@ -23,14 +25,19 @@
     """Sends the attempts of a `GatherExecution` and merges the parts."""
 
     def __init__(
-        self, attempt_pool: AttemptPool, routing_state: RoutingState, route: Route
+        self,
+        attempt_pool: AttemptPool,
+        routing_state: RoutingState,
+        route: Route,
+        ends_at_aim: bool = True,
     ) -> None:
         self.attempt_pool = attempt_pool
+        self.stopped = False
         self.route = route
         now = attempt_pool.clock.now()
         limit_s = time_left_s(attempt_pool.request, route, now)
         self.gather = GatherExecution(
-            route, routing_state, now, limit_s, wake=attempt_pool.wake.set
+            route, routing_state, now, limit_s, attempt_pool.wake.set, ends_at_aim
         )
 
     def run(self) -> RoutedResponse | None:
@@ -38,26 +45,61 @@
         self._run()
         return None if self.attempt_pool.caller_gone else self._answer()
 
-    def run_for_owner(self) -> OwnerResponse:
-        """Return the merged parts of this route's shards, for another instance to merge."""
-        self._run()
-        names = self.attempt_pool.upstream_client.header_names
-        parts = self._parts()
-        signatures = tuple(part.header_values[names.signature] for part in parts)
-        return OwnerResponse(signatures, self._records(parts))
+    def run_for_owner(self, respond: Callable[[OwnerResponse], None]) -> None:
+        """Respond with the merged parts of this route's shards, for another instance to merge.
+
+        The first response comes when no further part can arrive, at the aim at the latest.
+        Parts that arrive after that are sent as they come, until `stop` is called.
+        """
+        self._run(respond)
 
-    def _run(self) -> None:
+    def stop(self) -> None:
+        """End the request, as its parts are no longer needed."""
+        self.stopped = True
+        self.attempt_pool.wake.set()
+
+    def _run(self, respond: Callable[[OwnerResponse], None] | None = None) -> None:
         gather, clock = self.gather, self.attempt_pool.clock
+        if self.stopped:
+            return
         self._start_attempts(gather.start(clock.now()))
-        while gather.outcome is None and not self.attempt_pool.caller_gone:
-            for result in self.attempt_pool.wait(gather.next_tick_at()):
+        sent: set[int] = set()
+        responses = 0
+        while gather.outcome is None and not self.attempt_pool.caller_gone and not self.stopped:
+            next_at = gather.next_tick_at()
+            if respond is not None and not responses:
+                next_at = min(next_at, gather.aim_at)
+            for result in self.attempt_pool.wait(next_at):
                 self._on_result(result)
             if gather.outcome is None:
                 self._start_attempts(gather.tick(clock.now()))
+            if respond is None or gather.outcome is not None or clock.now() < gather.aim_at:
+                continue
+            if not responses or self._has_new_parts(sent):
+                respond(self._owner_response(sent, responses, more=True))
+                responses += 1
         gather.close()
+        if respond is not None and not self.stopped:
+            respond(self._owner_response(sent, responses, more=False))
         if not self.attempt_pool.caller_gone:
             self.attempt_pool.cancel_after_grace()
 
+    def _has_new_parts(self, sent: set[int]) -> bool:
+        return len(self.gather.shards) - self.gather.missing > len(sent)
+
+    def _owner_response(self, sent: set[int], number: int, more: bool) -> OwnerResponse:
+        """Return the parts that are not in `sent`, and add them to it."""
+        new = {
+            index: shard.part
+            for index, shard in enumerate(self.gather.shards)
+            if index not in sent and isinstance(shard.part, RawReply)
+        }
+        sent.update(new)
+        parts = list(new.values())
+        names = self.attempt_pool.upstream_client.header_names
+        signatures = tuple(part.header_values[names.signature] for part in parts)
+        return OwnerResponse(signatures, self._records(parts), more, number)
+
     def _start_attempts(self, attempts: list[UpstreamAttempt]) -> None:
         for attempt in attempts:
             self.attempt_pool.start_attempt(
--- a/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
@@ -14,6 +14,7 @@
 from spindle_daemon.core.spindle import Spindle
 from spindle_decisions.routing.const import OWNER_PROBE_MAX_PAUSE_S, OWNER_PROBE_TIMEOUT_S
 from spindle_decisions.routing.owner_liveness import OwnerLiveness
+from spindle_decisions.routing.owner_response import OwnerResponse
 from spindle_decisions.routing.route import Route
 from spindle_decisions.routing.routing_state import RoutingState
 from spindle_decisions.routing.upstream_attempt import next_attempt_id
@@ -21,6 +22,7 @@
 from spindle_decisions.wire.caller_request import CallerRequest
 from spindle_decisions.wire.fleet_instance import FleetInstance
 from spindle_decisions.wire.owner_suspicion import OwnerSuspicion
+from spindle_decisions.wire.spread_cancel import SpreadCancel
 from spindle_decisions.wire.spread_question import SpreadQuestion
 from spindle_decisions.wire.spread_reply import SpreadReply
 
@@ -49,11 +51,14 @@
         self.routing_state = routing_state
         self.name = spindle.settings.instance.name
         self.pending: dict[int, ReplyListener] = {}
+        # Sub-requests of other instances by reply address and number.
+        self.active: dict[tuple[str, int], GatherRunner] = {}
         self.peers = peers
         self.liveness = OwnerLiveness(self.name)
         self.is_probing = False
         spindle.transport.register_handler(SpreadQuestion, self._on_question)
         spindle.transport.register_handler(SpreadReply, self._on_reply)
+        spindle.transport.register_handler(SpreadCancel, self._on_cancel)
         spindle.transport.register_handler(OwnerSuspicion, self._on_suspicion)
 
     def usable_owners(self) -> tuple[FleetInstance, ...]:
@@ -66,23 +71,39 @@
 
     def query_owner(
         self, owner: FleetInstance, question: SpreadQuestion, listener: ReplyListener
-    ) -> None:
+    ) -> Callable[[], None]:
         """Send a sub-request to an owner, which may be this instance.
 
-        The listener gets the reply, if one arrives in time.
+        The listener gets the replies that arrive in time. Calling what this returns tells
+        the owner that no more of them are needed.
         """
+        question = msgspec.structs.replace(question, seq=next_attempt_id())
         if owner.name == self.name:
-            gevent.spawn(lambda: listener(self._gather(question)))
-            return
-        seq = next_attempt_id()
-        self.pending[seq] = listener
-        self.spindle.transport.send(owner.address, msgspec.structs.replace(question, seq=seq))
-        gevent.spawn_later(question.left_ms / MS_PER_S, self.pending.pop, seq, None)
+            self._gather(question, listener)
+            return lambda: self._on_cancel("", SpreadCancel(question.seq, question.reply_to))
+        self.pending[question.seq] = listener
+        self.spindle.transport.send(owner.address, question)
+        gevent.spawn_later(question.left_ms / MS_PER_S, self.pending.pop, question.seq, None)
+
+        def cancel() -> None:
+            if self.pending.pop(question.seq, None) is not None:
+                message = SpreadCancel(question.seq, question.reply_to)
+                self.spindle.transport.send(owner.address, message)
+
+        return cancel
 
     def _on_reply(self, _sender: str, reply: SpreadReply) -> None:
-        listener = self.pending.pop(reply.seq, None)
-        if listener is not None:
-            listener(reply)
+        listener = self.pending.get(reply.seq)
+        if listener is None:
+            return
+        if not reply.more:
+            del self.pending[reply.seq]
+        listener(reply)
+
+    def _on_cancel(self, _sender: str, cancel: SpreadCancel) -> None:
+        runner = self.active.get((cancel.reply_to, cancel.seq))
+        if runner is not None:
+            runner.stop()
 
     def _on_suspicion(self, sender: str, suspicion: OwnerSuspicion) -> None:
         self._suspect(suspicion.owner, sender)
@@ -149,28 +170,49 @@
         )
 
     def _on_question(self, _sender: str, question: SpreadQuestion) -> None:
-        gevent.spawn(self._answer, question)
+        def reply(message: SpreadReply) -> None:
+            self.spindle.transport.send(question.reply_to, message)
 
-    def _answer(self, question: SpreadQuestion) -> None:
-        self.spindle.transport.send(question.reply_to, self._gather(question))
+        self._gather(question, reply)
 
-    def _gather(self, question: SpreadQuestion) -> SpreadReply:
+    def _gather(self, question: SpreadQuestion, reply: ReplyListener) -> None:
+        """Start a sub-request; `_on_cancel` may end it even before its greenlet has run."""
         if not question.shards:
-            return SpreadReply(question.seq, self.name, (), b"", 0)
+            reply(SpreadReply(question.seq, self.name, (), b"", 0))
+            return
         trace = RequestTrace()
         deadline_s = question.left_ms / MS_PER_S
         request = RoutedRequest(question.request, deadline_s, self.spindle.clock.now())
         attempt_pool = AttemptPool(self.spindle.clock, self.upstream_client, request, trace)
-        part = GatherRunner(attempt_pool, self.routing_state, sub_route(question)).run_for_owner()
-        return SpreadReply(
-            question.seq, self.name, part.signatures, part.records, trace.attempt_count
-        )
+        runner = GatherRunner(attempt_pool, self.routing_state, sub_route(question), False)
+        told_attempts = 0
+
+        def respond(response: OwnerResponse) -> None:
+            nonlocal told_attempts
+            attempts = trace.attempt_count - told_attempts
+            told_attempts = trace.attempt_count
+            reply(
+                SpreadReply(
+                    question.seq,
+                    self.name,
+                    response.signatures,
+                    response.records,
+                    attempts,
+                    response.more,
+                    response.number,
+                )
+            )
+
+        key = (question.reply_to, question.seq)
+        self.active[key] = runner
+        greenlet = gevent.spawn(runner.run_for_owner, respond)
+        greenlet.rawlink(lambda _: self.active.pop(key, None))
 
 
 def sub_route(question: SpreadQuestion) -> Route:
     """Return the route for the shards of a sub-request.
 
-    Its `least_share` is 0: at the aim it ends with the parts that have arrived.
+    Its `least_share` is 0: it may end with any number of parts.
     """
     return Route(
         name=question.route,
--- a/packages/daemon/src/spindle_daemon/components/routed/owner_fanout_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_fanout_runner.py
@@ -1,6 +1,7 @@
 """Runner of scatter-gather requests through the owners of the shards."""
 
 from collections import deque
+from collections.abc import Callable
 
 from gevent.event import Event
 
@@ -44,6 +45,8 @@
         self.replies: deque[tuple[int, SpreadReply]] = deque()
         self.wake = Event()
         self.caller_gone = False
+        # By request token: tells the owner that no more replies are needed.
+        self.cancel_calls: dict[int, Callable[[], None]] = {}
 
     def run(self) -> RoutedResponse | None:
         """Return the answer, `None` if the caller disconnected; raises `RefusalError`."""
@@ -56,6 +59,8 @@
                 self._on_reply(*self.replies.popleft())
             if fanout.outcome is None:
                 self._tick()
+        for request_token in fanout.in_flight:
+            self.cancel_calls[request_token]()
         return None if self.caller_gone else self._answer()
 
     def _tick(self) -> None:
@@ -68,13 +73,13 @@
         fanout.check_silence(self.owner_rpc.liveness.suspected, now)
 
     def on_caller_gone(self) -> None:
-        """End the request; the owners end their part by themselves at the aim."""
+        """End the request; its owners are told."""
         self.caller_gone = True
         self.wake.set()
 
     def _query_owners(self, owner_requests: list[OwnerRequest]) -> None:
         for owner_request in owner_requests:
-            self.owner_rpc.query_owner(
+            self.cancel_calls[owner_request.request_token] = self.owner_rpc.query_owner(
                 owner_request.owner,
                 self._question(owner_request),
                 self._listener(owner_request.request_token),
@@ -91,7 +96,7 @@
         if request_token not in self.fanout.in_flight:
             return
         self.trace.attempt_count += reply.attempts
-        response = OwnerResponse(reply.signatures, reply.records)
+        response = OwnerResponse(reply.signatures, reply.records, reply.more, reply.number)
         self.fanout.on_owner_response(request_token, response, self.clock.now())
 
     def _question(self, owner_request: OwnerRequest) -> SpreadQuestion:
--- a/packages/decisions/src/spindle_decisions/routing/gather_execution.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_execution.py
@@ -22,7 +22,8 @@
 
     A shard whose upstreams have no free connection waits for one if its turn comes soon
     enough; `wake` is called when it has come, and `tick` must follow. A request that is
-    doomed before anything was sent sends nothing. Example:
+    doomed before anything was sent sends nothing. Without `ends_at_aim` the request goes
+    on until no further part can arrive. Example:
 
         gather = GatherExecution(route, state, now, limit_s)
         attempts = gather.start(now)
@@ -37,10 +38,12 @@
         now: float,
         limit_s: float,
         wake: Callable[[], object] = lambda: None,
+        ends_at_aim: bool = True,
     ) -> None:
         self.route = route
         self.state = state
         self.wake = wake
+        self.ends_at_aim = ends_at_aim
         self.shards = [GatherShard(service) for service in route.shards]
         self.median_latency = state.median_latency(route)
         aim_s = route.aim_ms / MS_PER_S
@@ -119,7 +122,8 @@
         sent_at = [shard.sent_at for shard in self.shards if shard.may_hedge()]
         if sent_at:
             times.append(min(sent_at) + self.hedge_delay_s)
-        if self.missing <= self.max_missing or any(shard.waiting for shard in self.shards):
+        has_enough = self.ends_at_aim and self.missing <= self.max_missing
+        if has_enough or any(shard.waiting for shard in self.shards):
             times.append(self.aim_at)
         return min(times)
 
@@ -217,7 +221,7 @@
         enough = self.missing <= self.max_missing
         if self.missing == 0:
             self.outcome = GatherOutcome("whole", True)
-        elif enough and now >= self.aim_at:
+        elif enough and self.ends_at_aim and now >= self.aim_at:
             self.outcome = GatherOutcome("aim", True)
         elif enough and self.missing == self.given_up_count:
             self.outcome = GatherOutcome("settled", True)
--- a/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
+++ b/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
@@ -23,8 +23,10 @@
     request that lacks only the parts of owners that answer no probe either ends soon
     after the aim, while its caller can still try another instance.
 
-    `responded_shards` counts the shards of the owners that responded, `answered_shards`
-    those of them for which an upstream answered.
+    At the aim an owner responds with the shards that have answered, and then with those
+    that answer later, until it is told that the request has ended. `finished_shards`
+    counts the shards of the owners that have sent their last response,
+    `answered_shards` the shards for which an upstream answered.
     """
 
     def __init__(
@@ -37,10 +39,12 @@
         self.owner_timeout_at = now + const.OWNER_TIMEOUT_RATIO * aim_s
         self.give_up_at = max(self.aim_at, self.owner_timeout_at) + const.OWNER_PROBE_TIMEOUT_S
         self.end_at = now + limit_s
-        self.responded_shards = 0
+        self.finished_shards = 0
         self.responses: list[OwnerResponse] = []
         self.answered_shards = 0
         self.in_flight: dict[int, OwnerRequest] = {}
+        # Number of the newest response by request token.
+        self.responded: dict[int, int] = {}
         self.unresponsive: set[str] = set()
         self.timeout_checked = False
         self.silence_checked = False
@@ -57,8 +61,12 @@
         return requests
 
     def on_owner_response(self, request_token: int, response: OwnerResponse, now: float) -> None:
-        """Store the response of an owner."""
-        self.responded_shards += len(self.in_flight.pop(request_token).shard_indexes)
+        """Store a response of an owner, unless it has been stored before."""
+        if response.number <= self.responded.get(request_token, -1):
+            return
+        self.responded[request_token] = response.number
+        if not response.more:
+            self.finished_shards += len(self.in_flight.pop(request_token).shard_indexes)
         self.responses.append(response)
         self.answered_shards += len(response.signatures)
         self._update_outcome(now)
@@ -68,7 +76,11 @@
         if not self.timeout_checked and now >= self.owner_timeout_at:
             self.timeout_checked = True
             if now <= self.owner_timeout_at + const.OWNER_CHECK_MAX_DELAY_S:
-                self.unresponsive = {request.owner.name for request in self.in_flight.values()}
+                self.unresponsive = {
+                    request.owner.name
+                    for token, request in self.in_flight.items()
+                    if token not in self.responded
+                }
         self._update_outcome(now)
 
     def check_silence(self, silent: Container[str], now: float) -> None:
@@ -96,7 +108,7 @@
     def _update_outcome(self, now: float) -> None:
         if self.outcome is not None:
             return
-        if self.responded_shards == len(self.route.shards):
+        if self.finished_shards == len(self.route.shards):
             is_complete = self.answered_shards == len(self.route.shards)
             self.outcome = GatherOutcome("whole" if is_complete else "settled", self._has_enough())
         elif self._has_enough() and now >= self.aim_at:
--- a/packages/decisions/src/spindle_decisions/wire/message.py
+++ b/packages/decisions/src/spindle_decisions/wire/message.py
@@ -17,6 +17,7 @@
 from spindle_decisions.wire.propose import Propose
 from spindle_decisions.wire.propose_reply import ProposeReply
 from spindle_decisions.wire.raft_packet import RaftPacket
+from spindle_decisions.wire.spread_cancel import SpreadCancel
 from spindle_decisions.wire.spread_question import SpreadQuestion
 from spindle_decisions.wire.spread_reply import SpreadReply
 from spindle_decisions.wire.status_wanted import StatusWanted
@@ -42,6 +43,7 @@
     | RaftPacket
     | SpreadQuestion
     | SpreadReply
+    | SpreadCancel
     | OwnerSuspicion
     | StatusWanted
     | SummaryAck
--- a/tests/daemon/routed/common.py
+++ b/tests/daemon/routed/common.py
@@ -35,6 +35,7 @@
 from spindle_decisions.routing.routed_service import RoutedService
 from spindle_decisions.routing.upstream_list import create_upstream_list
 from spindle_decisions.timeline.hybrid_clock import HybridClock
+from spindle_decisions.wire.fleet_instance import FleetInstance
 from spindle_platform.platform_adapter import HEADERS
 from tests.decisions.routing.common import HERE, HOST, gather_route, single_route
 
@@ -128,7 +129,7 @@
 
     def __init__(self) -> None:
         self.list_cache = UpstreamListCache()
-        self.peers = ()
+        self.peers: tuple[FleetInstance, ...] = ()
 
     def was_plan_confirmed(self) -> bool:
         """Return true: the plan counts as confirmed."""
@@ -149,14 +150,21 @@
 class RoutedHarness:
     """Entry instance with a plan and scripted upstreams."""
 
-    def __init__(self, routes: tuple[Route, ...], upstreams: tuple[ScriptedUpstream, ...]) -> None:
+    def __init__(
+        self,
+        routes: tuple[Route, ...],
+        upstreams: tuple[ScriptedUpstream, ...],
+        name: str = "entry-1",
+        transport: object | None = None,
+    ) -> None:
         self.upstreams = upstreams
-        self.spindle = Spindle(_settings(), SystemClock(), random.Random(1), 1)
-        self.spindle.transport = NullTransport()  # type: ignore[assignment]
+        self.spindle = Spindle(_settings(name), SystemClock(), random.Random(1), 1)
+        self.spindle.transport = transport or NullTransport()  # type: ignore[assignment]
+        self.fleet = FakeFleetCoordinator()
         routed = self.spindle.settings.routed
         assert routed is not None
         adapter = PlatformAdapter(HEADERS, Paths("GET /r", "POST /p", "GET /p"), None, None)  # type: ignore[arg-type]
-        self.coordinator = RoutedCoordinator(self.spindle, routed, adapter, FakeFleetCoordinator())  # type: ignore[arg-type]
+        self.coordinator = RoutedCoordinator(self.spindle, routed, adapter, self.fleet)  # type: ignore[arg-type]
         self.coordinator.routing_state.instances_known_at = 0.0
         names = {item.service for item in upstreams}
         services = tuple(RoutedService(name, 20) for name in names)
@@ -250,10 +258,10 @@
         harness.stop()
 
 
-def _settings() -> Settings:
+def _settings(name: str) -> Settings:
     return Settings(
-        instance=InstanceSettings("entry-1", HERE, "entry", None, None, "info"),  # type: ignore[arg-type]
-        mesh=MeshSettings("tcp://127.0.0.1:1", "tcp://127.0.0.1:1"),
+        instance=InstanceSettings(name, HERE, "entry", None, None, "info"),  # type: ignore[arg-type]
+        mesh=MeshSettings(name, name),
         admin=Endpoint("127.0.0.1", 1),
         controls=(),
         serving=SERVING,
--- a/tests/daemon/routed/test_owner_desk.py
+++ b/tests/daemon/routed/test_owner_desk.py
@@ -2,9 +2,8 @@
 
 import contextlib
 import unittest
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from types import SimpleNamespace
-from typing import Any
 
 import gevent
 from nose2.tools import params
@@ -15,43 +14,13 @@
 from spindle_decisions.wire.fleet_instance import FleetInstance
 from spindle_decisions.wire.owner_suspicion import OwnerSuspicion
 from spindle_decisions.wire.spread_question import SpreadQuestion
+from tests.daemon.routed.memory_mesh import MemoryMesh
 
 INSTANCES = 6
 DEAD = "front-5"
 SETTLE_S = 0.05
 
 
-class MemoryMesh:
-    """Delivers messages between instances of one process; `dead` ones get and send none."""
-
-    def __init__(self) -> None:
-        self.handlers: dict[str, dict[type, Callable[[str, Any], None]]] = {}
-        self.dead: set[str] = set()
-        self.delays_s: dict[str, float] = {}
-        self.sent: list[tuple[str, str, Any]] = []
-
-    def transport(self, name: str) -> SimpleNamespace:
-        """Return the transport of one instance, whose name is also its address."""
-        handlers = self.handlers.setdefault(name, {})
-
-        def send(address: str, message: Any) -> bool:
-            self.sent.append((name, address, message))
-            if not {name, address} & self.dead:
-                gevent.spawn_later(
-                    self.delays_s.get(address, 0.0), self._deliver, name, address, message
-                )
-            return True
-
-        return SimpleNamespace(register_handler=handlers.__setitem__, send=send)
-
-    def _deliver(self, sender: str, address: str, message: Any) -> None:
-        self.handlers[address][type(message)](sender, message)
-
-    def messages(self, kind: type) -> list[tuple[str, str, Any]]:
-        """Return sender, receiver and content of the messages of a type."""
-        return [item for item in self.sent if isinstance(item[2], kind)]
-
-
 class TestOwnerSuspicion(unittest.TestCase):
     def setUp(self) -> None:
         self.mesh = MemoryMesh()
--- a/tests/decisions/routing/test_gather_execution.py
+++ b/tests/decisions/routing/test_gather_execution.py
@@ -88,6 +88,22 @@
             self.gather.on_failure(attempt.attempt_id, NOW + 0.01)
         self.assertEqual(self.outcome(), ("doomed", False))
 
+    def test_owner_goes_on_after_the_aim_until_no_part_can_arrive(self) -> None:
+        self.start()
+        gather = GatherExecution(
+            gather_route(least_share=0.0), self.state, NOW, LIMIT_S, ends_at_aim=False
+        )
+        attempts = gather.start(NOW)
+        for attempt in attempts[:2]:
+            gather.on_response(attempt.attempt_id, "part", NOW + 0.01)
+        gather.tick(NOW + AIM_S)
+        self.assertIsNone(gather.outcome)
+        self.assertGreater(gather.next_tick_at(), NOW + AIM_S)
+        for attempt in attempts[2:]:
+            gather.on_response(attempt.attempt_id, "part", NOW + 0.3)
+        assert gather.outcome is not None
+        self.assertEqual(gather.outcome.reason, "whole")
+
     def test_ends_at_the_deadline(self) -> None:
         self.start()
         self.gather.tick(NOW + LIMIT_S)
--- a/tests/decisions/routing/test_owner_fanout.py
+++ b/tests/decisions/routing/test_owner_fanout.py
@@ -1,5 +1,6 @@
 """Tests of scatter-gather requests through shard owners."""
 
+import dataclasses
 import unittest
 
 from nose2.tools import params
@@ -118,6 +119,25 @@
         self.fanout.tick(NOW + AIM_S)
         self.assertEqual(self.outcome(), expected)
 
+    def test_late_parts_count_until_the_least_share_is_reached(self) -> None:
+        requests = self.start(0.99)
+        for request in requests:
+            partial = owner_response(request, missing=1)
+            self.fanout.on_owner_response(
+                request.request_token, dataclasses.replace(partial, more=True), NOW + 0.08
+            )
+        self.fanout.tick(self.fanout.owner_timeout_at)
+        self.assertEqual(self.fanout.unresponsive, set())
+        self.fanout.tick(NOW + AIM_S)
+        self.assertIsNone(self.outcome())
+        for number, request in enumerate(requests):
+            late = OwnerResponse((f"late-{number}",), b"x" * 16, more=True, number=1)
+            for _ in range(2):
+                self.fanout.on_owner_response(request.request_token, late, NOW + 0.15)
+        self.assertEqual(self.outcome(), ("aim", True))
+        self.assertEqual(self.fanout.answered_shards, 90)
+        self.assertEqual(len(self.signatures()), len(set(self.signatures())))
+
     @params((1, ("settled", True)), (5, ("settled", False)))
     def test_ends_when_all_owners_answered_with_missing_shards(
         self, missing: int, expected: tuple[str, bool]
