Bound what an upstream's answer may take, and what all answers together may

Change: names and values of headers and trailers, with those of interim answers, at most 64 KiB and 512 headers, at most 8 interim answers, and 32 MiB for all answers that are being read or are long and still held. The limit of interim answers was first swallowed by the rule that ignores errors after a complete answer; the test found it.

--- a/packages/daemon/src/spindle_daemon/components/routed/const.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/const.py
@@ -14,6 +14,15 @@
 # Maximum size of a single read from a connection.
 RECEIVE_BYTES = 16 * 1024
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Limits of the names and values of an answer's headers and trailers, with those of its
+# interim answers, of the number of headers, and of the number of interim answers.
+MAX_ANSWER_HEAD_BYTES = 64 * 1024
+MAX_ANSWER_HEADERS = 512
+MAX_INTERIM_ANSWERS = 8
+# Limit of the bytes of all answers that are held at a time. The process may have 200 MB.
+MAX_HELD_ANSWER_BYTES = 32 * 1024 * 1024
+# An answer with fewer bytes counts as held only while it is read.
+LONG_ANSWER_BYTES = 64 * 1024
 # Retry-After value of a refusal.
 RETRY_AFTER_S = 0.1
 # Retry-After value while this instance has no plan; it usually has one that long after a start.
--- a/packages/daemon/src/spindle_daemon/components/routed/routed_connection.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/routed_connection.py
@@ -1,13 +1,16 @@
 """Connection to an upstream."""
 
 import socket
+import weakref
 
 import gevent.socket
 
 from spindle_daemon.components.routed import const
 from spindle_daemon.components.routed.attempt_error import AttemptError
 from spindle_daemon.components.routed.raw_reply import RawReply
+from spindle_daemon.components.routed.receive_budget import ReceiveBudget
 from spindle_daemon.components.routed.reply_parser import ReplyParser
+from spindle_daemon.components.routed.reply_too_long_error import ReplyTooLongError
 
 _PEEK = socket.MSG_PEEK | socket.MSG_DONTWAIT
 _TCP_USER_TIMEOUT = 18
@@ -16,12 +19,14 @@
 class RoutedConnection:
     """Carries one request at a time; must be closed after any failure.
 
+    `budget` limits the bytes of the answers of all connections together.
     `idle_until` is the time until which it may be reused: after that the upstream may
     close it.
     """
 
-    def __init__(self, sock: gevent.socket.socket) -> None:
+    def __init__(self, sock: gevent.socket.socket, budget: ReceiveBudget) -> None:
         self.sock = sock
+        self.budget = budget
         self.idle_since = 0.0
         self.idle_until = 0.0
 
@@ -43,31 +48,38 @@
     def exchange(self, method: str, request: bytes) -> RawReply:
         """Send a request and return the answer; raise `AttemptError` if it is incomplete."""
         parser = ReplyParser(method)
+        held = 0
         try:
             self.sock.sendall(request)
-            received = 0
             while not parser.is_complete():
                 data = self.sock.recv(const.RECEIVE_BYTES)
+                self.budget.acquire(len(data))
+                held += len(data)
                 parser.feed_data(data)
-                received += len(data)
-                if received > const.MAX_ANSWER_BYTES:
-                    raise AttemptError("answer is too long", not_sent=False)
                 if not data:
                     break
+            if not parser.is_complete():
+                raise AttemptError("answer ends early", not_sent=False)
+            reply = _reply(parser, at_end=not data)
+            if held > const.LONG_ANSWER_BYTES:
+                weakref.finalize(reply, self.budget.release, held)
+                held = 0
+            return reply
         except AttemptError:
             raise
+        except ReplyTooLongError as err:
+            raise AttemptError(str(err), not_sent=False, too_long=True) from err
         except Exception as err:
             raise AttemptError(f"{type(err).__name__}: {err}"[:200], not_sent=False) from err
-        if not parser.is_complete():
-            raise AttemptError("answer ends early", not_sent=False)
-        return _reply(parser, at_end=not data)
+        finally:
+            self.budget.release(held)
 
     def close(self) -> None:
         """Close the connection, which cancels a request in flight."""
         self.sock.close()
 
 
-def open_connection(host: str, port: int) -> RoutedConnection:
+def open_connection(host: str, port: int, budget: ReceiveBudget) -> RoutedConnection:
     """Connect to an upstream; raise `AttemptError` if that fails or takes too long."""
     sock = gevent.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -82,7 +94,7 @@
     except BaseException:
         sock.close()
         raise
-    return RoutedConnection(sock)
+    return RoutedConnection(sock, budget)
 
 
 def _reply(parser: ReplyParser, at_end: bool) -> RawReply:
--- a/packages/daemon/src/spindle_daemon/components/routed/routed_connection_pool.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/routed_connection_pool.py
@@ -3,6 +3,7 @@
 from spindle_daemon.components.routed import const
 from spindle_daemon.components.routed.attempt_error import AttemptError
 from spindle_daemon.components.routed.raw_reply import RawReply
+from spindle_daemon.components.routed.receive_budget import ReceiveBudget
 from spindle_daemon.components.routed.routed_connection import RoutedConnection, open_connection
 from spindle_daemon.core.clock import Clock
 
@@ -13,8 +14,9 @@
 class RoutedConnectionPool:
     """Reuses idle connections, newest first, and opens at most `max_connections`."""
 
-    def __init__(self, clock: Clock, host: str, port: int) -> None:
+    def __init__(self, clock: Clock, host: str, port: int, budget: ReceiveBudget) -> None:
         self.clock = clock
+        self.budget = budget
         self.host = host
         self.port = port
         self.max_connections = 1
@@ -61,7 +63,7 @@
         self.open_count += 1
         self.opened_count += 1
         try:
-            return open_connection(self.host, self.port)
+            return open_connection(self.host, self.port, self.budget)
         except BaseException:
             self.open_count -= 1
             raise
--- a/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
@@ -8,6 +8,7 @@
 from spindle_daemon.components.routed.attempt_result import AttemptResult
 from spindle_daemon.components.routed.ejection_log import EjectionLog
 from spindle_daemon.components.routed.raw_reply import RawReply
+from spindle_daemon.components.routed.receive_budget import ReceiveBudget
 from spindle_daemon.components.routed.reply_classifier import (
     ReplyClass,
     classify_reply,
@@ -29,6 +30,7 @@
         self.header_names = header_names
         self.pools: dict[str, RoutedConnectionPool] = {}
         self.ejection_log = EjectionLog()
+        self.budget = ReceiveBudget(const.MAX_HELD_ANSWER_BYTES)
 
     def send(self, attempt_request: AttemptRequest) -> AttemptResult:
         """Send an attempt and wait for the answer, until its `end_at` at the latest."""
@@ -106,7 +108,9 @@
     def _record_error(self, replica: Replica, err: AttemptError) -> None:
         if err.busy:
             return
-        if err.not_sent:
+        if err.too_long:
+            replica.record_violation(self.clock.now())
+        elif err.not_sent:
             self.replicas.record_connect_failure(replica, self.clock.now())
         else:
             replica.record_failure(self.clock.now())
@@ -117,7 +121,9 @@
         if pool is None or (pool.host, pool.port) != (replica.listed.host, replica.listed.port):
             if pool is not None:
                 pool.close()
-            pool = RoutedConnectionPool(self.clock, replica.listed.host, replica.listed.port)
+            pool = RoutedConnectionPool(
+                self.clock, replica.listed.host, replica.listed.port, self.budget
+            )
             self.pools[replica.upstream_id] = pool
         pool.max_connections = replica.connection_share
         return pool
--- a/packages/decisions/src/spindle_decisions/routing/replica.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica.py
@@ -87,6 +87,11 @@
         self.record_failure(now)
         self.unreachable_until = self.ejected_until
 
+    def record_violation(self, now: float) -> None:
+        """Record an answer that exceeded a limit; ejects the upstream at once."""
+        self.consecutive_failures = max(self.consecutive_failures, const.EJECTION_FAILURES - 1)
+        self.record_failure(now)
+
     def record_failure(self, now: float) -> None:
         """Record a failure; ejects the upstream after several in a row."""
         self.last_failure_rate = (
