Take an answer without the request's id for a foreign one, and close its connection

Cause: a second copy of an answer may come late, on a connection that is in use again. One that had no id counted as the answer's own if it was a refusal or a failure: 503 with 'not executed', 429 and 421 were then proof of 'not run', and a request that must run once was sent to a second upstream while the first ran it. A copy with another id was recognised, but its connection was kept, with the answer that belongs to the request still to come. Change: an answer that does not echo the request's id is foreign, whatever its status: the request may have run. Its connection is closed. An answer to a request without an id must have none.

--- a/packages/daemon/src/spindle_daemon/components/routed/reply_classifier.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/reply_classifier.py
@@ -21,12 +21,12 @@
 def classify_reply(reply: RawReply, request_id: str, header_names: HeaderNames) -> ReplyClass:
     """Return the class of an answer to the request with that id.
 
-    An answer with the id of another request is `FOREIGN`, and so is a success without
-    a request id or signature. `MISPLACED` means that another upstream is now at the
-    address.
+    An answer without the id of this request is `FOREIGN`, whatever its status: it may be
+    a late copy of the answer to an earlier request on the connection, and then it is no
+    proof that this one did not run. So is a success without a signature. `MISPLACED`
+    means that another upstream is now at the address.
     """
-    echoed = reply.header_values.get(header_names.request_id)
-    if echoed is not None and echoed != request_id:
+    if not is_own_reply(reply, request_id, header_names):
         return ReplyClass.FOREIGN
     if reply.status == STATUS_MISDIRECTED:
         return ReplyClass.MISPLACED
@@ -34,11 +34,19 @@
         return ReplyClass.NOT_RUN
     if not 200 <= reply.status < 300:
         return ReplyClass.FAILURE
-    if echoed is None or header_names.signature not in reply.header_values:
+    if header_names.signature not in reply.header_values:
         return ReplyClass.FOREIGN
     return ReplyClass.GOOD
 
 
+def is_own_reply(reply: RawReply, request_id: str, header_names: HeaderNames) -> bool:
+    """Return whether an answer echoes the id of the request.
+
+    A request whose caller gave no id cannot be told apart; its answer must have none.
+    """
+    return reply.header_values.get(header_names.request_id, "") == request_id
+
+
 def reported_load(reply: RawReply, header_names: HeaderNames) -> tuple[int, int] | None:
     """Return the numbers of running and waiting requests that an answer reports, if any."""
     fields = reply.header_values.get(header_names.load, "").split(",")
--- a/packages/daemon/src/spindle_daemon/components/routed/routed_connection_pool.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/routed_connection_pool.py
@@ -1,5 +1,7 @@
 """Pool of the connections of this instance to one upstream."""
 
+from collections.abc import Callable
+
 from spindle_daemon.components.routed import const
 from spindle_daemon.components.routed.attempt_error import AttemptError
 from spindle_daemon.components.routed.raw_reply import RawReply
@@ -25,15 +27,22 @@
         self.closed = False
         self.idle: list[RoutedConnection] = []
 
-    def exchange(self, method: str, request: bytes, max_idle_s: float) -> RawReply:
-        """Send a request and return the answer; killing the greenlet closes the connection."""
+    def exchange(
+        self, method: str, request: bytes, max_idle_s: float, is_own: Callable[[RawReply], bool]
+    ) -> RawReply:
+        """Send a request and return the answer; killing the greenlet closes the connection.
+
+        A connection with an answer for which `is_own` is false is closed: the answer that
+        belongs to the request may still arrive on it.
+        """
         connection = self._acquire(max_idle_s)
         try:
             reply = connection.exchange(method, request)
         except BaseException:
             self._close(connection)
             raise
-        if not reply.keep_alive or self.closed or self.open_count > self.max_connections:
+        is_kept = reply.keep_alive and is_own(reply) and not self.closed
+        if not is_kept or self.open_count > self.max_connections:
             self._close(connection)
         else:
             self._release(connection, reply)
--- a/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
@@ -12,6 +12,7 @@
 from spindle_daemon.components.routed.reply_classifier import (
     ReplyClass,
     classify_reply,
+    is_own_reply,
     reported_load,
 )
 from spindle_daemon.components.routed.routed_connection_pool import RoutedConnectionPool
@@ -55,11 +56,16 @@
         max_idle_s = (
             const.KEEP_ALIVE_MAX_S if attempt_request.retryable else const.NON_IDEMPOTENT_MAX_IDLE_S
         )
+        request_id = attempt_request.request.request_id
+
+        def is_own(reply: RawReply) -> bool:
+            return is_own_reply(reply, request_id, self.header_names)
+
         timeout = gevent.Timeout(max(0.001, left_s))
         try:
             with timeout:
                 reply = self.pool(replica).exchange(
-                    attempt_request.request.method, request, max_idle_s
+                    attempt_request.request.method, request, max_idle_s, is_own
                 )
         except AttemptError as err:
             self._record_error(replica, err)
