Call an owner silent after half a second without any answer, not after a tenth

Change: any reply, also a late one, makes an owner usable; only one that has answered nothing for 0.5 s is silent, logged and reported. A request that lacks only silent owners ends then.

--- a/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
@@ -12,7 +12,7 @@
 from spindle_daemon.components.routed.routed_request import RoutedRequest
 from spindle_daemon.components.routed.upstream_client import UpstreamClient
 from spindle_daemon.core.spindle import Spindle
-from spindle_decisions.routing.const import OWNER_PROBE_MAX_PAUSE_S, OWNER_PROBE_TIMEOUT_S
+from spindle_decisions.routing.const import OWNER_PROBE_MAX_PAUSE_S
 from spindle_decisions.routing.owner_liveness import OwnerLiveness
 from spindle_decisions.routing.owner_response import OwnerResponse
 from spindle_decisions.routing.route import Route
@@ -35,8 +35,8 @@
     """Answers sub-requests for shards owned here, and sends sub-requests to other owners.
 
     An owner that does not respond is probed: with a sub-request without shards, which is
-    answered at once. If it does not answer that either, it is reported to all peers, so
-    that only the requests of one instance are spent on it. Each peer probes it itself.
+    answered at once. If it answers none for a while, it is reported to all peers, so that
+    few requests are spent on it. Each peer probes it itself.
     """
 
     def __init__(
@@ -55,6 +55,8 @@
         self.active: dict[tuple[str, int], GatherRunner] = {}
         self.peers = peers
         self.liveness = OwnerLiveness(self.name)
+        # By the name of a suspected owner: the instance that noticed first.
+        self.reporters: dict[str, str] = {}
         self.is_probing = False
         spindle.transport.register_handler(SpreadQuestion, self._on_question)
         spindle.transport.register_handler(SpreadReply, self._on_reply)
@@ -93,6 +95,9 @@
         return cancel
 
     def _on_reply(self, _sender: str, reply: SpreadReply) -> None:
+        if self.liveness.record_reply(reply.owner):
+            fields = {"event": "owner-back", "peer": reply.owner}
+            _LOGGER.info("routed: owner-back", extra=fields)
         listener = self.pending.get(reply.seq)
         if listener is None:
             return
@@ -111,47 +116,37 @@
     def _suspect(self, name: str, reporter: str) -> None:
         if not self.liveness.suspect(name, self.spindle.clock.now()):
             return
-        gevent.spawn_later(OWNER_PROBE_TIMEOUT_S, self._confirm, name, reporter)
+        self.reporters[name] = reporter
         if not self.is_probing:
             self.is_probing = True
             gevent.spawn(self._probe_suspected)
 
-    def _confirm(self, name: str, reporter: str) -> None:
-        """Log that a suspected owner did not answer its first probe; report an own finding."""
-        if name not in self.liveness.suspected:
-            return
-        fields = {"event": "owner-silent", "peer": name, "reporter": reporter}
-        _LOGGER.info("routed: owner-silent", extra=fields)
-        if reporter != self.name:
-            return
-        report = OwnerSuspicion(name)
-        for peer in self.peers():
-            if peer.name not in (self.name, name):
-                self.spindle.transport.send(peer.address, report)
-
     def _probe_suspected(self) -> None:
         """Probe the suspected owners until none is left."""
         try:
             while (next_at := self.liveness.next_probe_at()) is not None:
                 gevent.sleep(max(0.0, next_at - self.spindle.clock.now()))
-                self.liveness.retain(peer.name for peer in self.peers())
-                due = set(self.liveness.due_probes(self.spindle.clock.now()))
-                for peer in self.peers():
-                    if peer.name in due:
-                        self._probe(peer)
+                peers = {peer.name: peer for peer in self.peers()}
+                self.liveness.retain(peers)
+                now = self.spindle.clock.now()
+                for name in self.liveness.newly_silent(now):
+                    self._on_silent(name)
+                for name in self.liveness.due_probes(now):
+                    self.query_owner(peers[name], self._probe_question(), lambda _reply: None)
         finally:
             self.is_probing = False
 
-    def _probe(self, owner: FleetInstance) -> None:
-        sent_at = self.spindle.clock.now()
-
-        def on_reply(_reply: SpreadReply) -> None:
-            took_s = self.spindle.clock.now() - sent_at
-            if self.liveness.record_probe_reply(owner.name, took_s):
-                fields = {"event": "owner-back", "peer": owner.name, "ms": round(took_s * MS_PER_S)}
-                _LOGGER.info("routed: owner-back", extra=fields)
-
-        self.query_owner(owner, self._probe_question(), on_reply)
+    def _on_silent(self, name: str) -> None:
+        """Log that an owner is silent, and report it to the peers if that is an own finding."""
+        reporter = self.reporters[name]
+        fields = {"event": "owner-silent", "peer": name, "reporter": reporter}
+        _LOGGER.info("routed: owner-silent", extra=fields)
+        if reporter != self.name:
+            return
+        report = OwnerSuspicion(name)
+        for peer in self.peers():
+            if peer.name not in (self.name, name):
+                self.spindle.transport.send(peer.address, report)
 
     def _probe_question(self) -> SpreadQuestion:
         request = CallerRequest(
--- a/packages/daemon/src/spindle_daemon/components/routed/owner_fanout_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_fanout_runner.py
@@ -70,7 +70,7 @@
         if not checked:
             for name in fanout.unresponsive:
                 self.owner_rpc.record_timeout(name)
-        fanout.check_silence(self.owner_rpc.liveness.suspected, now)
+        fanout.check_silence(self.owner_rpc.liveness.silent(), now)
 
     def on_caller_gone(self) -> None:
         """End the request; its owners are told."""
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -77,5 +77,6 @@
 # Pause between two probes of a suspected owner: at first, and at most. It doubles each time.
 OWNER_PROBE_MIN_PAUSE_S = 0.2
 OWNER_PROBE_MAX_PAUSE_S = 1.0
-# An owner that takes longer to answer a probe is too slow to be asked.
-OWNER_PROBE_TIMEOUT_S = 0.1
+# An owner that has answered no probe for this long is silent. Living instances stop for up
+# to a few tenths of a second, by their processor quota or a large plan.
+OWNER_SILENCE_S = 0.5
--- a/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
+++ b/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
@@ -20,8 +20,8 @@
     Within a request no other owner is asked for the shards of an unresponsive one: it
     is unknown which upstreams that one has asked, and both together could ask more
     upstreams than the route allows. Later requests skip the unresponsive owner. A
-    request that lacks only the parts of owners that answer no probe either ends soon
-    after the aim, while its caller can still try another instance.
+    request that lacks only the parts of silent owners ends before its deadline, while
+    its caller can still try another instance.
 
     At the aim an owner responds with the shards that have answered, and then with those
     that answer later, until it is told that the request has ended. `finished_shards`
@@ -37,7 +37,10 @@
         aim_s = route.aim_ms / MS_PER_S
         self.aim_at = now + max(0.0, aim_s - const.RESPONSE_MARGIN_S)
         self.owner_timeout_at = now + const.OWNER_TIMEOUT_RATIO * aim_s
-        self.give_up_at = max(self.aim_at, self.owner_timeout_at) + const.OWNER_PROBE_TIMEOUT_S
+        self.give_up_at = (
+            max(self.aim_at, self.owner_timeout_at + const.OWNER_SILENCE_S)
+            + const.OWNER_CHECK_MAX_DELAY_S
+        )
         self.end_at = now + limit_s
         self.finished_shards = 0
         self.responses: list[OwnerResponse] = []
