--- a/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
@@ -83,12 +83,20 @@
         if owner.name == self.name:
             self._gather(question, listener)
             return lambda: self._on_cancel("", SpreadCancel(question.seq, question.reply_to))
-        self.pending[question.seq] = listener
+        is_finished = False
+
+        def on_reply(reply: SpreadReply) -> None:
+            nonlocal is_finished
+            is_finished = not reply.more
+            listener(reply)
+
+        self.pending[question.seq] = on_reply
         self.spindle.transport.send(owner.address, question)
         gevent.spawn_later(question.left_ms / MS_PER_S, self.pending.pop, question.seq, None)
 
         def cancel() -> None:
-            if self.pending.pop(question.seq, None) is not None:
+            self.pending.pop(question.seq, None)
+            if not is_finished:
                 message = SpreadCancel(question.seq, question.reply_to)
                 self.spindle.transport.send(owner.address, message)
 
