End a gather once all owners have responded with enough, and answer before telling them

The answer is written first. Tests: test_ends_before_the_aim_once_all_owners_have_responded_with_enough, which failed.

--- a/packages/daemon/src/spindle_daemon/components/routed/owner_fanout_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_fanout_runner.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Callable
 
+import gevent
 from gevent.event import Event
 
 from spindle_daemon.components.routed.gather_response import (
@@ -59,10 +60,15 @@
                 self._on_reply(*self.replies.popleft())
             if fanout.outcome is None:
                 self._tick()
-        for request_token in fanout.in_flight:
-            self.cancel_calls[request_token]()
+        # The answer goes out first: each word to an owner takes time.
+        gevent.spawn(self._cancel_open, tuple(fanout.in_flight))
         return None if self.caller_gone else self._answer()
 
+    def _cancel_open(self, request_tokens: tuple[int, ...]) -> None:
+        for request_token in request_tokens:
+            self.cancel_calls[request_token]()
+            gevent.sleep(0)
+
     def _tick(self) -> None:
         fanout, now = self.fanout, self.clock.now()
         checked = fanout.timeout_checked
--- a/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
+++ b/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
@@ -23,8 +23,10 @@
     request that lacks only the parts of silent owners ends before its deadline, while
     its caller can still try another instance.
 
-    At the aim an owner responds with the shards that have answered, and then with those
-    that answer later, until it is told that the request has ended. `finished_shards`
+    Shortly before the aim an owner responds with the shards that have answered, and then
+    with those that answer later, until it is told that the request has ended. Once all
+    owners have responded and the least share is reached, the request ends: waiting for
+    single parts until the aim would make many answers late. `finished_shards`
     counts the shards of the owners that have sent their last response,
     `answered_shards` the shards for which an upstream answered.
     """
@@ -105,6 +107,9 @@
             times.append(self.aim_at)
         return min(times)
 
+    def _all_responded(self) -> bool:
+        return all(token in self.responded for token in self.in_flight)
+
     def _has_enough(self) -> bool:
         return self.answered_shards >= min_parts(self.route)
 
@@ -114,7 +119,7 @@
         if self.finished_shards == len(self.route.shards):
             is_complete = self.answered_shards == len(self.route.shards)
             self.outcome = GatherOutcome("whole" if is_complete else "settled", self._has_enough())
-        elif self._has_enough() and now >= self.aim_at:
+        elif self._has_enough() and (now >= self.aim_at or self._all_responded()):
             self.outcome = GatherOutcome("aim", True)
         elif now >= self.end_at:
             self.outcome = GatherOutcome("deadline", self._has_enough())
--- a/tests/decisions/routing/test_owner_fanout.py
+++ b/tests/decisions/routing/test_owner_fanout.py
@@ -121,6 +121,17 @@
         self.fanout.tick(NOW + AIM_S)
         self.assertEqual(self.outcome(), expected)
 
+    def test_ends_before_the_aim_once_all_owners_have_responded_with_enough(self) -> None:
+        """Regression: waiting for single parts until the aim made a tenth of answers late."""
+        requests = self.start(0.9)
+        for request in requests[:-1]:
+            partial = dataclasses.replace(owner_response(request, missing=1), more=True)
+            self.fanout.on_owner_response(request.request_token, partial, NOW + 0.06)
+        self.assertIsNone(self.outcome())
+        last = owner_response(requests[-1])
+        self.fanout.on_owner_response(requests[-1].request_token, last, NOW + 0.07)
+        self.assertEqual(self.outcome(), ("aim", True))
+
     def test_late_parts_count_until_the_least_share_is_reached(self) -> None:
         requests = self.start(0.99)
         for request in requests:
