Look for owners that did not respond when they must have, and survive an error in a probe

Cause: found by reading: the check came at 0.7 of the aim, while an owner with a part missing responds shortly before the asker's aim; so every partial answer suspected living owners, probed them, and kept their shards with others for some milliseconds. An error in the probing loop would have ended it, and with it the return of every owner that was suspected then.

--- a/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
@@ -131,18 +131,25 @@
 
     def _probe_suspected(self) -> None:
         """Probe the suspected owners until none is left."""
-        try:
-            while (next_at := self.liveness.next_probe_at()) is not None:
-                gevent.sleep(max(0.0, next_at - self.spindle.clock.now()))
-                peers = {peer.name: peer for peer in self.peers()}
-                self.liveness.retain(peers)
-                now = self.spindle.clock.now()
-                for name in self.liveness.newly_silent(now):
-                    self._on_silent(name)
-                for name in self.liveness.due_probes(now):
-                    self.query_owner(peers[name], self._probe_question(), lambda _reply: None)
-        finally:
-            self.is_probing = False
+        while (next_at := self.liveness.next_probe_at()) is not None:
+            gevent.sleep(max(0.0, next_at - self.spindle.clock.now()))
+            try:
+                self._probe_due()
+            except Exception:
+                # The others are probed again: without that they would never be asked.
+                _LOGGER.exception("routed: probe of owners failed")
+                gevent.sleep(OWNER_PROBE_MAX_PAUSE_S)
+        self.is_probing = False
+
+    def _probe_due(self) -> None:
+        peers = {peer.name: peer for peer in self.peers()}
+        self.liveness.retain(peers)
+        now = self.spindle.clock.now()
+        due = self.liveness.due_probes(now)
+        for name in self.liveness.newly_silent(now):
+            self._on_silent(name)
+        for name in due:
+            self.query_owner(peers[name], self._probe_question(), lambda _reply: None)
 
     def _on_silent(self, name: str) -> None:
         """Log that an owner is silent, and report it to the peers if that is an own finding."""
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -74,9 +74,9 @@
 MIN_DIRECT_CONNECTIONS = 1.5
 # Owners of a shard in each data centre, among which its connections are divided.
 OWNERS_PER_DATA_CENTER = 2
-# An owner that has responded neither within this fraction of the aim nor by the end of
-# the request counts as unresponsive.
-OWNER_TIMEOUT_RATIO = 0.7
+# Owners respond `OWNER_REPLY_MARGIN_S` before the asker's aim at the latest. Those that have
+# not this long before it count as unresponsive; at the aim the request may have ended.
+OWNER_CHECK_LEAD_S = 0.001
 # A check for unresponsive owners that comes later than this has been delayed by a pause of
 # this instance; the owners are not to blame for it.
 OWNER_CHECK_MAX_DELAY_S = 0.05
--- a/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
+++ b/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
@@ -39,7 +39,7 @@
         aim_s = route.aim_ms / MS_PER_S
         margin_s = const.RESPONSE_MARGIN_S + const.RESPONSE_MARGIN_PER_SHARD_S * len(route.shards)
         self.aim_at = now + max(0.0, aim_s - margin_s)
-        self.owner_timeout_at = now + const.OWNER_TIMEOUT_RATIO * aim_s
+        self.owner_timeout_at = max(now, self.aim_at - const.OWNER_CHECK_LEAD_S)
         self.give_up_at = (
             max(self.aim_at, self.owner_timeout_at + const.OWNER_SILENCE_S)
             + const.OWNER_CHECK_MAX_DELAY_S
--- a/tests/daemon/routed/test_owner_desk.py
+++ b/tests/daemon/routed/test_owner_desk.py
@@ -73,6 +73,21 @@
         gevent.sleep(OWNER_PROBE_MAX_PAUSE_S)
         self.assertEqual(len(self.mesh.sent), before, "nobody probes an owner that is trusted")
 
+    def test_error_while_probing_does_not_end_the_probes(self) -> None:
+        desk = self.desks["front-0"]
+        question, errors = desk._probe_question, [OSError("no buffer")]
+
+        def fail_once() -> SpreadQuestion:
+            if errors:
+                raise errors.pop()
+            return question()
+
+        desk._probe_question = fail_once  # type: ignore[method-assign]
+        with self.assertLogs("spindle_daemon.components.routed.owner_desk"):
+            desk.record_timeout("front-3")
+            gevent.sleep(2 * OWNER_PROBE_MAX_PAUSE_S)
+        self.assertIn("front-0", self.users_of("front-3"))
+
     def test_wrong_suspicion_of_a_living_owner_is_not_reported(self) -> None:
         self.desks["front-0"].record_timeout("front-3")
         self.assertNotIn("front-0", self.users_of("front-3"))
