--- a/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
@@ -8,20 +8,18 @@
 
 from spindle_daemon.components.routed.attempt_pool import AttemptPool
 from spindle_daemon.components.routed.gather_runner import GatherRunner
+from spindle_daemon.components.routed.owner_prober import OwnerProber
 from spindle_daemon.components.routed.request_trace import RequestTrace
 from spindle_daemon.components.routed.routed_request import RoutedRequest
 from spindle_daemon.components.routed.upstream_client import UpstreamClient
 from spindle_daemon.core.spindle import Spindle
-from spindle_decisions.routing.const import OWNER_PROBE_MAX_PAUSE_S
 from spindle_decisions.routing.owner_liveness import OwnerLiveness
 from spindle_decisions.routing.owner_response import OwnerResponse
 from spindle_decisions.routing.route import Route
 from spindle_decisions.routing.routing_state import RoutingState
 from spindle_decisions.routing.upstream_attempt import next_attempt_id
 from spindle_decisions.util.units import MS_PER_S
-from spindle_decisions.wire.caller_request import CallerRequest
 from spindle_decisions.wire.fleet_instance import FleetInstance
-from spindle_decisions.wire.owner_suspicion import OwnerSuspicion
 from spindle_decisions.wire.spread_cancel import SpreadCancel
 from spindle_decisions.wire.spread_question import SpreadQuestion
 from spindle_decisions.wire.spread_reply import SpreadReply
@@ -34,9 +32,7 @@
 class OwnerRpc:
     """Answers sub-requests for shards owned here, and sends sub-requests to other owners.
 
-    An owner that does not respond is probed: with a sub-request without shards, which is
-    answered at once. If it answers none for a while, it is reported to all peers, so that
-    few requests are spent on it. Each peer probes it itself.
+    Owners that do not respond are not asked until they answer a probe of `OwnerProber`.
     """
 
     def __init__(
@@ -55,13 +51,10 @@
         self.active: dict[tuple[str, int], GatherRunner] = {}
         self.peers = peers
         self.liveness = OwnerLiveness(self.name)
-        # By the name of a suspected owner: the instance that noticed first.
-        self.reporters: dict[str, str] = {}
-        self.is_probing = False
+        self.prober = OwnerProber(spindle, self.liveness, peers, self.query_owner)
         spindle.transport.register_handler(SpreadQuestion, self._on_question)
         spindle.transport.register_handler(SpreadReply, self._on_reply)
         spindle.transport.register_handler(SpreadCancel, self._on_cancel)
-        spindle.transport.register_handler(OwnerSuspicion, self._on_suspicion)
 
     def usable_owners(self) -> tuple[FleetInstance, ...]:
         """Return the peers that are not suspected; this instance is always included."""
@@ -69,7 +62,7 @@
 
     def record_timeout(self, name: str) -> None:
         """Suspect an owner that did not respond in time."""
-        self._suspect(name, self.name)
+        self.prober.suspect(name, self.name)
 
     def query_owner(
         self, owner: FleetInstance, question: SpreadQuestion, listener: ReplyListener
@@ -118,67 +111,6 @@
         if runner is not None:
             runner.stop()
 
-    def _on_suspicion(self, sender: str, suspicion: OwnerSuspicion) -> None:
-        self._suspect(suspicion.owner, sender)
-
-    def _suspect(self, name: str, reporter: str) -> None:
-        if not self.liveness.suspect(name, self.spindle.clock.now()):
-            return
-        self.reporters[name] = reporter
-        if not self.is_probing:
-            self.is_probing = True
-            gevent.spawn(self._probe_suspected)
-
-    def _probe_suspected(self) -> None:
-        """Probe the suspected owners until none is left."""
-        while (next_at := self.liveness.next_probe_at()) is not None:
-            gevent.sleep(max(0.0, next_at - self.spindle.clock.now()))
-            try:
-                self._probe_due()
-            except Exception:
-                # The others are probed again: without that they would never be asked.
-                _LOGGER.exception("routed: probe of owners failed")
-                gevent.sleep(OWNER_PROBE_MAX_PAUSE_S)
-        self.is_probing = False
-
-    def _probe_due(self) -> None:
-        peers = {peer.name: peer for peer in self.peers()}
-        self.liveness.retain(peers)
-        now = self.spindle.clock.now()
-        due = self.liveness.due_probes(now)
-        for name in self.liveness.newly_silent(now):
-            self._on_silent(name)
-        for name in due:
-            self.query_owner(peers[name], self._probe_question(), lambda _reply: None)
-
-    def _on_silent(self, name: str) -> None:
-        """Log that an owner is silent, and report it to the peers if that is an own finding."""
-        reporter = self.reporters[name]
-        fields = {"event": "owner-silent", "peer": name, "reporter": reporter}
-        _LOGGER.info("routed: owner-silent", extra=fields)
-        if reporter != self.name:
-            return
-        report = OwnerSuspicion(name)
-        for peer in self.peers():
-            if peer.name not in (self.name, name):
-                self.spindle.transport.send(peer.address, report)
-
-    def _probe_question(self) -> SpreadQuestion:
-        request = CallerRequest(
-            method="", target="", host="", headers=(), body=b"", has_body=False, request_id=""
-        )
-        return SpreadQuestion(
-            seq=0,
-            reply_to=self.spindle.settings.mesh.advertise,
-            shards=(),
-            top_records=0,
-            route="",
-            max_attempts=0,
-            aim_left_ms=1,
-            left_ms=int(OWNER_PROBE_MAX_PAUSE_S * MS_PER_S),
-            request=request,
-        )
-
     def _on_question(self, _sender: str, question: SpreadQuestion) -> None:
         def reply(message: SpreadReply) -> None:
             self.spindle.transport.send(question.reply_to, message)
--- a/tests/daemon/routed/test_owner_desk.py
+++ b/tests/daemon/routed/test_owner_desk.py
@@ -75,15 +75,15 @@
 
     def test_error_while_probing_does_not_end_the_probes(self) -> None:
         desk = self.desks["front-0"]
-        question, errors = desk._probe_question, [OSError("no buffer")]
+        question, errors = desk.prober._probe_question, [OSError("no buffer")]
 
         def fail_once() -> SpreadQuestion:
             if errors:
                 raise errors.pop()
             return question()
 
-        desk._probe_question = fail_once  # type: ignore[method-assign]
-        with self.assertLogs("spindle_daemon.components.routed.owner_desk"):
+        desk.prober._probe_question = fail_once  # type: ignore[method-assign]
+        with self.assertLogs("spindle_daemon.components.routed.owner_prober"):
             desk.record_timeout("front-3")
             gevent.sleep(2 * OWNER_PROBE_MAX_PAUSE_S)
         self.assertIn("front-0", self.users_of("front-3"))
