Log the rate limits that upstreams name, and what is sent meanwhile

The logs of the incident could not tell whether instances had received a limit, nor how much each one sent and by which cause. Answers are now read for a limit; upstream-limited and upstream-unlimited name the upstream, its limit, and this instance's attempts with the extra ones among them; the metric of upstreams has the state limited. Nothing is decided by it yet.

Tests: tests.daemon.routed.test_rate_limit (lines, unreadable values, order of answers).

--- a/packages/daemon/src/spindle_daemon/components/routed/reply_classifier.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/reply_classifier.py
@@ -1,6 +1,7 @@
 """Classification of an upstream's answer."""
 
 import enum
+import math
 
 from spindle_daemon.components.routed.raw_reply import RawReply
 from spindle_daemon.core.platform_adapter import HeaderNames
@@ -53,3 +54,21 @@
     if len(fields) < 2 or not all(field.strip().isdecimal() for field in fields[:2]):
         return None
     return int(fields[0]), int(fields[1])
+
+
+def named_rate_limit(
+    reply: RawReply, header_names: HeaderNames, current: float | None
+) -> float | None:
+    """Return the requests per second to which an answer limits all instances together.
+
+    Returns `None` if it names no limit, and `current` if what it names is no finite number
+    of at least 0.
+    """
+    text = reply.header_values.get(header_names.rate_limit)
+    if text is None:
+        return None
+    try:
+        per_s = float(text)
+    except ValueError:
+        return current
+    return per_s if math.isfinite(per_s) and per_s >= 0 else current
--- a/packages/daemon/src/spindle_daemon/components/routed/routed_collector.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/routed_collector.py
@@ -40,6 +40,7 @@
             "usable": sum(item.is_ready() for item in replicas),
             "ejected": sum(item.is_ejected(now) for item in replicas),
             "draining": sum(item.listed.draining for item in replicas),
+            "limited": sum(item.rate_limit is not None for item in replicas),
         }
         upstreams = GaugeMetricFamily(
             "spindle_routed_upstreams", "Upstreams by state.", labels=["state"]
--- a/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
@@ -7,17 +7,20 @@
 from spindle_daemon.components.routed.attempt_request import AttemptRequest
 from spindle_daemon.components.routed.attempt_result import AttemptResult
 from spindle_daemon.components.routed.ejection_log import EjectionLog
+from spindle_daemon.components.routed.rate_limit_log import RateLimitLog
 from spindle_daemon.components.routed.raw_reply import RawReply
 from spindle_daemon.components.routed.receive_budget import ReceiveBudget
 from spindle_daemon.components.routed.reply_classifier import (
     ReplyClass,
     classify_reply,
     is_own_reply,
+    named_rate_limit,
     reported_load,
 )
 from spindle_daemon.components.routed.routed_connection_pool import RoutedConnectionPool
 from spindle_daemon.core.clock import Clock
 from spindle_daemon.core.platform_adapter import HeaderNames
+from spindle_decisions.routing.attempt_cause import FIRST
 from spindle_decisions.routing.replica import Replica
 from spindle_decisions.routing.replica_pool import ReplicaPool
 
@@ -31,6 +34,7 @@
         self.header_names = header_names
         self.pools: dict[str, RoutedConnectionPool] = {}
         self.ejection_log = EjectionLog()
+        self.rate_limit_log = RateLimitLog()
         self.budget = ReceiveBudget(const.MAX_HELD_ANSWER_BYTES)
 
     def send(self, attempt_request: AttemptRequest) -> AttemptResult:
@@ -38,6 +42,8 @@
         replica, attempt_id = attempt_request.attempt.replica, attempt_request.attempt.attempt_id
         started = self.clock.now()
         replica.record_sent(attempt_id, started)
+        if replica.rate_limit is not None:
+            replica.rate_limit.record_sent(attempt_request.attempt.cause != FIRST)
         try:
             result = self._exchange(attempt_request, started)
             self.ejection_log.log_change(replica, result.reason, self.clock.now())
@@ -86,6 +92,8 @@
         load = reported_load(reply, self.header_names)
         if load is not None and reply_class is not ReplyClass.FOREIGN:
             replica.record_load_report(now, *load)
+        if reply_class not in (ReplyClass.FOREIGN, ReplyClass.MISPLACED):
+            self._record_rate_limit(replica, reply, started)
         if reply_class is ReplyClass.GOOD:
             self.replicas.record_success(
                 replica, now, now - started, attempt_request.median_latency.seconds
@@ -102,6 +110,13 @@
             f"{reply_class.value} {reply.status}",
         )
 
+    def _record_rate_limit(self, replica: Replica, reply: RawReply, started: float) -> None:
+        now = self.clock.now()
+        current = None if replica.rate_limit is None else replica.rate_limit.per_s
+        limit = named_rate_limit(reply, self.header_names, current)
+        replica.record_rate_limit(now, started, limit)
+        self.rate_limit_log.log_change(replica, now)
+
     def _record_no_response(self, attempt_request: AttemptRequest, started: float) -> None:
         now = self.clock.now()
         self.replicas.record_no_response(
--- a/packages/daemon/src/spindle_daemon/core/platform_adapter.py
+++ b/packages/daemon/src/spindle_daemon/core/platform_adapter.py
@@ -12,7 +12,8 @@
     """Names of the headers that routed requests and answers carry, in lower case.
 
     `expect_upstream` names the upstream that may answer, `not_run` states that the
-    upstream did not run the request, `signature` proves which upstream answered, and
+    upstream did not run the request, `rate_limit` limits the requests per second of all
+    instances together, `signature` proves which upstream answered, and
     `part_signatures` and `missing_parts` describe a gathered answer.
     """
 
@@ -21,6 +22,7 @@
     expect_upstream: str
     not_run: str
     load: str
+    rate_limit: str
     signature: str
     part_signatures: str
     missing_parts: str
--- a/packages/decisions/src/spindle_decisions/routing/replica.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica.py
@@ -2,6 +2,7 @@
 
 from spindle_decisions.routing import const
 from spindle_decisions.routing.listed_upstream import ListedUpstream
+from spindle_decisions.routing.rate_limit import RateLimit
 
 
 class Replica:
@@ -10,7 +11,7 @@
     The latency factor is the moving average of its latencies divided by the median
     latency of the route, so that routes with different work are comparable. It decays
     towards 1. `connection_share` is the number of connections that this instance may
-    hold to the upstream.
+    hold to the upstream. `rate_limit` is the limit that its last answer named, if any.
     """
 
     def __init__(self, listed: ListedUpstream) -> None:
@@ -28,6 +29,7 @@
         self.reported_load = 0
         self.reported_load_at = -const.LOAD_REPORT_MAX_AGE_S
         self.warmed_up_at = 0.0
+        self.rate_limit: RateLimit | None = None
 
     @property
     def upstream_id(self) -> str:
@@ -115,6 +117,22 @@
         self.reported_load = running + waiting
         self.reported_load_at = now
 
+    def record_rate_limit(self, now: float, sent_at: float, per_s: float | None) -> None:
+        """Record the rate limit that an answer named, `None` if it named none.
+
+        `sent_at` is the time at which its request was sent. Without a limit, the answer to
+        a request that was sent before a limit was named is older than that limit.
+        """
+        limit = self.rate_limit
+        if per_s is None:
+            if limit is not None and sent_at >= limit.named_at:
+                self.rate_limit = None
+        elif limit is None:
+            self.rate_limit = RateLimit(per_s, now)
+        else:
+            limit.per_s = per_s
+            limit.named_at = now
+
     def latency_factor(self, now: float) -> float:
         """Return the latency factor, decayed towards 1."""
         return 1.0 + (self.last_latency_factor - 1.0) * _decay(
