Keep the rate limit of an upstream over all instances together

Callers saw nothing: the upstream did. One that named a limit of 13 requests/s in its answers got up to 98 in 4 s, where its users allow 83; limits of 5.3 and 2.5/s were exceeded 2.8 and 1.2 times as much.

Cause: nobody read the limit. Class: a limit for the sum of all instances that none of them enforces.

Change: each instance uses an equal share of the limit by a token bucket, with one second's share at once after a pause. Instances that own shards share by data centre, as one owner in each sends. Hedges never use a limited upstream. A gather that is refused before anything is sent returns its tokens. A limit of 0 leaves one request in two seconds, as only answers tell of its end.

--- a/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -131,6 +131,11 @@
         self.attempt_pool.trace.not_sent_shards = [
             shard.service for shard in shards if shard.given_up and not shard.tried_replicas
         ]
+        now = self.attempt_pool.clock.now()
+        self.attempt_pool.trace.limited_shard_count = sum(
+            shard.given_up and self.gather.state.replicas.is_service_rate_limited(name, now)
+            for name, shard in zip(self.route.shards, shards, strict=True)
+        )
         if outcome.answered:
             return self._merged(parts)
         if not self.attempt_pool.trace.attempt_count:
--- a/packages/daemon/src/spindle_daemon/components/routed/rate_limit_log.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/rate_limit_log.py
@@ -18,7 +18,7 @@
 
     def __init__(self) -> None:
         # By upstream: the limit, and the time and the counts of its last line.
-        self.logged: dict[str, tuple[RateLimit, float, int, int]] = {}
+        self.logged: dict[str, tuple[RateLimit, float, tuple[int, ...]]] = {}
         self.rate_limiter = LogRateLimiter(LINES_PER_S)
 
     def log_change(self, replica: Replica, now: float) -> None:
@@ -26,35 +26,38 @@
         limit, logged = replica.rate_limit, self.logged.get(replica.upstream_id)
         if logged is None:
             if limit is not None:
-                self._log_line("upstream-limited", replica, limit, (limit, now, 0, 0), now)
+                self._log_line("upstream-limited", replica, (limit, now, (0, 0, 0)), now)
         elif limit is not logged[0]:
+            self._log_line("upstream-unlimited", replica, logged, now)
             del self.logged[replica.upstream_id]
-            self._log_line("upstream-unlimited", replica, logged[0], logged, now)
         elif now - logged[1] >= INTERVAL_S:
-            self._log_line("upstream-limited", replica, limit, logged, now)
+            self._log_line("upstream-limited", replica, logged, now)
 
     def _log_line(
         self,
         event: str,
         replica: Replica,
-        limit: RateLimit,
-        logged: tuple[RateLimit, float, int, int],
+        logged: tuple[RateLimit, float, tuple[int, ...]],
         now: float,
     ) -> None:
-        _, logged_at, sent_count, extra_count = logged
-        if event == "upstream-limited":
-            counts = (limit.sent_count, limit.extra_count)
-            self.logged[replica.upstream_id] = (limit, now, *counts)
+        limit, logged_at, logged_counts = logged
+        counts = (limit.sent_count, limit.extra_count, limit.skipped_count)
+        self.logged[replica.upstream_id] = (limit, now, counts)
         if not self.rate_limiter.try_acquire(now):
             return
+        sent, extra, skipped = (
+            count - before for count, before in zip(counts, logged_counts, strict=True)
+        )
         fields = {
             "event": event,
             "upstream": replica.upstream_id,
             "service": replica.listed.service,
             "limit": limit.per_s,
+            "share": round(limit.share_per_s(), 2),
             "for_s": round(now - logged_at, 2),
-            "sent": limit.sent_count - sent_count,
-            "extra": limit.extra_count - extra_count,
+            "sent": sent,
+            "extra": extra,
+            "skipped": skipped,
             "left_out": self.rate_limiter.take_suppressed_count(),
         }
         _LOGGER.info("routed: %s", event, extra=fields)
--- a/packages/daemon/src/spindle_daemon/components/routed/request_log.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/request_log.py
@@ -112,6 +112,8 @@
                 len(trace.not_sent_shards),
                 *trace.not_sent_shards[:MAX_NOT_SENT_NAMES],
             ]
+        if trace.limited_shard_count:
+            fields["limited"] = trace.limited_shard_count
         fields.update(trace.extra_attempts)
         if trace.failures:
             fields["notes"] = trace.failures
--- a/packages/daemon/src/spindle_daemon/components/routed/request_trace.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/request_trace.py
@@ -12,7 +12,8 @@
 
     `decision_inputs` are the versions and ages on which the decisions were based.
     `extra_attempts` counts hedges and retries by cause. `not_sent_shards` are the
-    shards for which no upstream was available.
+    shards for which no upstream was available, and `limited_shard_count` is how many shards
+    were given up while an upstream of them was withheld by its rate limit.
     """
 
     def __init__(self) -> None:
@@ -22,6 +23,7 @@
         self.extra_attempts: dict[str, int] = {}
         self.failures: list[str] = []
         self.not_sent_shards: list[str] = []
+        self.limited_shard_count = 0
         self.upstream = ""
         self.end_reason = ""
         self.part_count = 0
--- a/packages/daemon/src/spindle_daemon/components/routed/single_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/single_runner.py
@@ -86,4 +86,7 @@
             raise OutcomeUnknownError("the upstream's answer was lost")
         if self.attempt_pool.trace.attempt_count:
             raise NotRunError("no upstream took the request")
+        replicas = self.single.state.replicas
+        if replicas.is_service_rate_limited(self.single.service, self.attempt_pool.clock.now()):
+            raise OverloadedError("the upstreams get as many requests as they take")
         raise OverloadedError("no upstream may be used now")
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -86,3 +86,9 @@
 # An owner that has answered no probe for this long is silent. Living instances stop for up
 # to a few tenths of a second, by their processor quota or a large plan.
 OWNER_SILENCE_S = 0.5
+# Seconds of its share of a rate limit that an instance may send at once after a pause, but
+# always one request.
+RATE_LIMIT_BURST_S = 1.0
+# Requests per second of all instances that an upstream gets at least: only its answers say
+# that a limit of 0 has ended.
+MIN_RATE_LIMIT_PER_S = 0.5
--- a/packages/decisions/src/spindle_decisions/routing/gather_execution.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_execution.py
@@ -95,6 +95,8 @@
         attempt = self.attempts.pop(attempt_id)
         shard = self.shards[attempt.shard_index]
         shard.in_flight.pop(attempt_id)
+        if not_sent:
+            attempt.replica.release_rate()
         if shard.part is not None or self.outcome is not None:
             return []
         cause = attempt_cause.RETRY
@@ -144,7 +146,11 @@
         attempt_count = len(shard.tried_replicas) - shard.not_sent_count
         if attempt_count < self.route.max_attempts and now < self.end_at:
             replica = self.state.replicas.select_replica(
-                shard.service, now, self.median_latency.seconds, tuple(shard.tried_replicas)
+                shard.service,
+                now,
+                self.median_latency.seconds,
+                tuple(shard.tried_replicas),
+                is_hedge=cause == attempt_cause.HEDGE,
             )
         is_budget_exempt = is_replacement or cause == attempt_cause.FIRST
         if (
@@ -157,6 +163,7 @@
             if not shard.in_flight and not self._wait(shard, cause, now, is_replacement):
                 self._give_up(shard)
             return None
+        replica.acquire_rate(now)
         attempt = UpstreamAttempt(next_attempt_id(), shard_index, replica, cause)
         shard.tried_replicas.append(replica)
         shard.in_flight[attempt.attempt_id] = now
@@ -212,6 +219,8 @@
         return attempts
 
     def _withdraw_attempts(self) -> None:
+        for attempt in self.attempts.values():
+            attempt.replica.release_rate()
         self.attempts.clear()
         for shard in self.shards:
             shard.in_flight.clear()
--- a/packages/decisions/src/spindle_decisions/routing/replica.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica.py
@@ -11,7 +11,8 @@
     The latency factor is the moving average of its latencies divided by the median
     latency of the route, so that routes with different work are comparable. It decays
     towards 1. `connection_share` is the number of connections that this instance may
-    hold to the upstream. `rate_limit` is the limit that its last answer named, if any.
+    hold to the upstream. `rate_limit` is the limit that its last answer named, if any, and
+    `rate_limit_sharers` the number of instances that share it.
     """
 
     def __init__(self, listed: ListedUpstream) -> None:
@@ -30,6 +31,7 @@
         self.reported_load_at = -const.LOAD_REPORT_MAX_AGE_S
         self.warmed_up_at = 0.0
         self.rate_limit: RateLimit | None = None
+        self.rate_limit_sharers = 1
 
     @property
     def upstream_id(self) -> str:
@@ -44,6 +46,26 @@
         """Return whether the connection share is used up."""
         return len(self.in_flight) >= self.connection_share
 
+    def is_rate_limited(self, now: float) -> bool:
+        """Return whether the share of the rate limit is used up."""
+        return self.rate_limit is not None and not self.rate_limit.has_token(now)
+
+    def acquire_rate(self, now: float) -> None:
+        """Count a request that is about to be sent against the rate limit, if any."""
+        if self.rate_limit is not None:
+            self.rate_limit.acquire(now)
+
+    def release_rate(self) -> None:
+        """Take back `acquire_rate` for a request of which no byte was sent."""
+        if self.rate_limit is not None:
+            self.rate_limit.release()
+
+    def divide_rate_limit(self, sharers: int) -> None:
+        """Set the number of instances that share a rate limit of this upstream."""
+        self.rate_limit_sharers = sharers
+        if self.rate_limit is not None:
+            self.rate_limit.sharers = sharers
+
     def is_ejected(self, now: float) -> bool:
         """Return whether the upstream is ejected because of failures."""
         return now < self.ejected_until
@@ -128,7 +150,7 @@
             if limit is not None and sent_at >= limit.named_at:
                 self.rate_limit = None
         elif limit is None:
-            self.rate_limit = RateLimit(per_s, now)
+            self.rate_limit = RateLimit(per_s, self.rate_limit_sharers, now)
         else:
             limit.per_s = per_s
             limit.named_at = now
--- a/packages/decisions/src/spindle_decisions/routing/replica_pool.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica_pool.py
@@ -49,18 +49,26 @@
         return removed
 
     def select_replica(
-        self, service: str, now: float, median_s: float, tried: tuple[Replica, ...] = ()
+        self,
+        service: str,
+        now: float,
+        median_s: float,
+        tried: tuple[Replica, ...] = (),
+        is_hedge: bool = False,
     ) -> Replica | None:
         """Return the replica with the least expected latency, or `None` if none is free.
 
         Unhealthy replicas are selected when there is no other, so that a false failure
-        signal cannot leave a service without replicas.
+        signal cannot leave a service without replicas. A replica whose share of a rate
+        limit is used up is not selected, and one with a rate limit never for a hedge: its
+        requests are for those who have no other attempt.
         """
         available = [
             item
             for item in self.by_service.get(service, ())
             if item.is_ready() and not item.is_at_connection_limit() and item not in tried
         ]
+        available = [item for item in available if not _is_withheld(item, now, is_hedge)]
         if not available:
             return None
         healthy = [item for item in available if self.is_healthy(item, now)]
@@ -80,6 +88,7 @@
             if item.is_ready()
             and item not in tried
             and item.is_at_connection_limit()
+            and not item.is_rate_limited(now)
             and self.is_healthy(item, now)
             and not item.stalled_s(now, median_s * item.latency_factor(now))
         )
@@ -101,6 +110,13 @@
             for item in self.by_service.get(service, ())
         )
 
+    def is_service_rate_limited(self, service: str, now: float) -> bool:
+        """Return whether a usable replica of a service is only withheld by its rate limit."""
+        return any(
+            item.is_ready() and item.is_rate_limited(now)
+            for item in self.by_service.get(service, ())
+        )
+
     def is_isolated(self, now: float) -> bool:
         """Return whether all other data centres that have upstreams are unreachable."""
         others = {
@@ -163,6 +179,21 @@
             )
             item.connection_share = max(1, int(shared_connections / max(1, sharers)))
 
+    def divide_rate_limits(self, sharers: int, owned: Container[str], owners: int) -> None:
+        """Set how many instances share a rate limit: `owners` for the services in `owned`."""
+        for item in self.replicas.values():
+            item.divide_rate_limit(owners if item.listed.service in owned else sharers)
+
+
+def _is_withheld(replica: Replica, now: float, is_hedge: bool) -> bool:
+    limit = replica.rate_limit
+    if limit is None:
+        return False
+    if not is_hedge and limit.has_token(now):
+        return False
+    limit.skipped_count += 1
+    return True
+
 
 def _address_changed(old: ListedUpstream, new: ListedUpstream) -> bool:
     return (old.service, old.host, old.port) != (new.service, new.host, new.port)
--- a/packages/decisions/src/spindle_decisions/routing/routing_state.py
+++ b/packages/decisions/src/spindle_decisions/routing/routing_state.py
@@ -70,12 +70,15 @@
         )
 
     def shard_owner_count(self) -> int:
-        """Return how many instances share the upstreams of an owned shard."""
-        data_centers = {item.listed.data_center for item in self.replicas.replicas.values()}
-        return const.OWNERS_PER_DATA_CENTER * max(1, len(data_centers))
+        """Return how many instances share the connections to the upstreams of an owned shard."""
+        return const.OWNERS_PER_DATA_CENTER * self.data_center_count()
+
+    def data_center_count(self) -> int:
+        """Return the number of data centres that have upstreams; at least one."""
+        return max(1, len({item.listed.data_center for item in self.replicas.replicas.values()}))
 
     def divide_connections(self, max_connections: dict[str, int], now: float) -> None:
-        """Set each replica's connection share and whether shard owners are used.
+        """Set each replica's shares of the limits and whether shard owners are used.
 
         `max_connections` maps a service to the connections of one replica.
         """
@@ -97,6 +100,9 @@
             self.replicas.divide_connections(
                 owned_connections, self.shard_owner_count(), only_services=owned_connections.keys()
             )
+        # Two instances of a data centre own a shard only while it passes from one to the other.
+        owned = self.shard_services if self.uses_shard_owners else frozenset()
+        self.replicas.divide_rate_limits(instances, owned, self.data_center_count())
 
     def can_serve(self, route: Route, now: float) -> bool:
         """Return whether enough services of a route are reachable."""
--- a/packages/decisions/src/spindle_decisions/routing/single_execution.py
+++ b/packages/decisions/src/spindle_decisions/routing/single_execution.py
@@ -47,12 +47,13 @@
 
     def on_not_sent(self, attempt_id: int, now: float) -> UpstreamAttempt | None:
         """Handle an attempt of which no byte was sent; return the next attempt, if any."""
-        cause = self.in_flight.pop(attempt_id).cause
+        attempt = self.in_flight.pop(attempt_id)
+        attempt.replica.release_rate()
         self.attempts -= 1
         self.not_sent_count += 1
         if self.not_sent_count > MAX_NOT_SENT or self.in_flight:
             return None
-        return self._start_attempt(cause, now, is_replacement=True)
+        return self._start_attempt(attempt.cause, now, is_replacement=True)
 
     def on_not_run(self, attempt_id: int, now: float) -> UpstreamAttempt | None:
         """Handle the reply that the request did not run; return the next attempt, if any."""
@@ -84,13 +85,18 @@
         if self.attempts >= self.route.max_attempts or self.end_at - now < const.MIN_ATTEMPT_TIME_S:
             return None
         replica = self.state.replicas.select_replica(
-            self.service, now, self.median_latency.seconds, tuple(self.tried_replicas)
+            self.service,
+            now,
+            self.median_latency.seconds,
+            tuple(self.tried_replicas),
+            is_hedge=cause == attempt_cause.HEDGE,
         )
         if replica is None:
             return None
         is_budget_exempt = is_replacement or cause == attempt_cause.FIRST
         if not is_budget_exempt and not self.state.try_acquire_retry(self.service, now):
             return None
+        replica.acquire_rate(now)
         attempt = UpstreamAttempt(next_attempt_id(), 0, replica, cause)
         self.tried_replicas.append(replica)
         self.attempts += 1
--- a/tests/daemon/routed/test_rate_limit.py
+++ b/tests/daemon/routed/test_rate_limit.py
@@ -6,7 +6,12 @@
 from nose2.tools import params
 
 from spindle_platform.platform_adapter import HEADERS
-from tests.daemon.routed.common import Request, ScriptedUpstream, routed_harness
+from tests.daemon.routed.common import (
+    Request,
+    ScriptedUpstream,
+    UpstreamScript,
+    routed_harness,
+)
 
 LOGGER = "spindle_daemon.components.routed.rate_limit_log"
 
@@ -53,3 +58,26 @@
             self.assertIsNotNone(replica.rate_limit)
             replica.record_rate_limit(10.3, 10.2, None)
             self.assertIsNone(replica.rate_limit)
+
+
+class TestRefusedByRateLimit(unittest.TestCase):
+    def test_other_upstream_serves_what_a_limited_one_does_not_take(self) -> None:
+        limited = ScriptedUpstream("u1", "desk", _limited_script("0.5"))
+        other = ScriptedUpstream("u2", "desk", lambda request: request.answer(b"x"))
+        with routed_harness(limited, other) as entry:
+            statuses = [entry.ask("/lookup/1").status for _ in range(30)]
+        self.assertEqual(statuses, [200] * 30)
+        self.assertLessEqual(len(limited.requests), 2)
+
+    def test_request_above_all_limits_is_refused_at_once_as_not_run(self) -> None:
+        upstream = ScriptedUpstream("u1", "desk", _limited_script("0.5"))
+        with routed_harness(upstream) as entry:
+            first, second = entry.ask("/lookup/1"), entry.ask("/lookup/1")
+        self.assertEqual((first.status, second.status), (200, 503))
+        self.assertIn(b"overloaded", second.body)
+        self.assertIn("retry-after", second.headers)
+        self.assertEqual(len(upstream.requests), 1)
+
+
+def _limited_script(per_s: str) -> UpstreamScript:
+    return lambda request: request.answer(b"x", **{HEADERS.rate_limit: per_s})
