Log which requests break their connections, with a fingerprint

"answer ends early" was written both for an answer that was cut short and for a connection that ended without a byte of one, and no line named the target. A line of a request now has the number of its broken attempts and a hash of method, host, target and body, equal when it comes again at any instance.

Tests: tests.daemon.routed.test_query_of_death, tests.decisions.routing.test_request_fingerprint.

--- a/packages/daemon/src/spindle_daemon/components/routed/attempt_pool.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/attempt_pool.py
@@ -15,6 +15,7 @@
 from spindle_daemon.components.routed.upstream_client import UpstreamClient
 from spindle_daemon.core.clock import Clock
 from spindle_decisions.routing.median_latency import MedianLatency
+from spindle_decisions.routing.request_fingerprint import request_fingerprint
 from spindle_decisions.routing.upstream_attempt import UpstreamAttempt
 
 
@@ -83,5 +84,8 @@
         self.wake.set()
 
     def _run_attempt(self, attempt_request: AttemptRequest) -> None:
-        self.results.append(self.upstream_client.send(attempt_request))
+        result = self.upstream_client.send(attempt_request)
+        if result.broken and not self.trace.fingerprint:
+            self.trace.fingerprint = request_fingerprint(self.request.caller_request)
+        self.results.append(result)
         self.wake.set()
--- a/packages/daemon/src/spindle_daemon/components/routed/attempt_result.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/attempt_result.py
@@ -12,7 +12,7 @@
     """The answer and its class, or the reason why there is none.
 
     `not_sent` means that no byte of the request was sent, `timed_out` that no answer
-    came in time.
+    came in time, `broken` that the connection ended before any byte of an answer.
     """
 
     attempt: UpstreamAttempt
@@ -21,3 +21,4 @@
     not_sent: bool
     reason: str
     timed_out: bool = False
+    broken: bool = False
--- a/packages/daemon/src/spindle_daemon/components/routed/request_log.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/request_log.py
@@ -114,6 +114,8 @@
             ]
         if trace.limited_shard_count:
             fields["limited"] = trace.limited_shard_count
+        if trace.broken_count:
+            fields.update(broken=trace.broken_count, fingerprint=trace.fingerprint)
         fields.update(trace.extra_attempts)
         if trace.failures:
             fields["notes"] = trace.failures
--- a/packages/daemon/src/spindle_daemon/components/routed/request_trace.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/request_trace.py
@@ -13,7 +13,9 @@
     `decision_inputs` are the versions and ages on which the decisions were based.
     `extra_attempts` counts hedges and retries by cause. `not_sent_shards` are the
     shards for which no upstream was available, and `limited_shard_count` is how many shards
-    were given up while an upstream of them was withheld by its rate limit.
+    were given up while an upstream of them was withheld by its rate limit. `broken_count`
+    counts attempts whose connection ended without an answer; `fingerprint` is that of the
+    request, set with the first of them.
     """
 
     def __init__(self) -> None:
@@ -24,6 +26,8 @@
         self.failures: list[str] = []
         self.not_sent_shards: list[str] = []
         self.limited_shard_count = 0
+        self.broken_count = 0
+        self.fingerprint = ""
         self.upstream = ""
         self.end_reason = ""
         self.part_count = 0
@@ -38,6 +42,7 @@
 
     def record_failure(self, result: AttemptResult) -> None:
         """Record an attempt without a usable answer."""
+        self.broken_count += result.broken
         if len(self.failures) < MAX_FAILURES_KEPT:
             listed = result.attempt.replica.listed
             self.failures.append(
--- a/packages/daemon/src/spindle_daemon/components/routed/routed_connection.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/routed_connection.py
@@ -59,6 +59,8 @@
                 if not data:
                     break
             if not parser.is_complete():
+                if not parser.received_bytes:
+                    raise AttemptError("closed without an answer", not_sent=False, broken=True)
                 raise AttemptError("answer ends early", not_sent=False)
             reply = _reply(parser, at_end=not data)
             if held > const.LONG_ANSWER_BYTES:
@@ -70,7 +72,9 @@
         except ReplyTooLongError as err:
             raise AttemptError(str(err), not_sent=False, too_long=True) from err
         except Exception as err:
-            raise AttemptError(f"{type(err).__name__}: {err}"[:200], not_sent=False) from err
+            is_broken = isinstance(err, OSError) and not parser.received_bytes
+            text = f"{type(err).__name__}: {err}"[:200]
+            raise AttemptError(text, not_sent=False, broken=is_broken) from err
         finally:
             self.budget.release(held)
 
--- a/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
@@ -75,7 +75,7 @@
                 )
         except AttemptError as err:
             self._record_error(replica, err)
-            return AttemptResult(attempt, None, None, err.not_sent, str(err))
+            return AttemptResult(attempt, None, None, err.not_sent, str(err), broken=err.broken)
         except gevent.Timeout as err:
             if err is not timeout:
                 raise
