Hold hedges and retries of a gather until its first part has arrived

Callers saw searches refused and failed for seconds: one search crashed 35 of 40 upstreams of a service within 70 ms, both of nearly every shard, each time that it came.

Cause: retries and hedges. The search ran at one upstream of each of 20 shards; 16 hedges and 4 retries of the same request (its log line: 40 attempts, 0 parts, 93 ms) carried it to the second ones before any part had shown that it can be answered at all. Class: retries that spread a fault of the request itself.

Change: until the first part has arrived a gather sends three hedges and retries at most; the others follow with the first part, or are given up when no attempt is left that could bring one. Gathers that are in flight beside a crash have parts from other upstreams and are retried as before; where all near upstreams are silent, three hedges find the far ones.

--- a/packages/decisions/src/spindle_decisions/routing/gather_execution.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_execution.py
@@ -20,6 +20,9 @@
     once the least share of parts has arrived, the request ends at the aim at the
     latest, and before the aim only when no further part can arrive.
 
+    Until the first part has arrived, only `UNPROVEN_EXTRA_ATTEMPTS` hedges and retries are
+    sent; the others are held until then, and given up if it cannot arrive any more.
+
     A shard whose upstreams have no free connection waits for one if its turn comes soon
     enough; `wake` is called when it has come, and `tick` must follow. A request that is
     doomed before anything was sent sends nothing. Without `ends_at_aim` the request goes
@@ -55,6 +58,7 @@
         self.missing = len(self.shards)
         self.max_missing = len(self.shards) - min_parts(route)
         self.given_up_count = 0
+        self.unproven_extra_count = 0
         self.outcome: GatherOutcome | None = None
         self.attempts: dict[int, UpstreamAttempt] = {}
 
@@ -103,7 +107,13 @@
         if not_sent:
             shard.not_sent_count += 1
             cause = attempt.cause
+        elif self._holds_extra_attempts():
+            shard.retry_held = True
+            self._give_up_held_retries()
+            self._update_outcome(now)
+            return []
         replacement = self._start_attempt(attempt.shard_index, cause, now, not_sent)
+        self._give_up_held_retries()
         self._update_outcome(now)
         return [] if replacement is None else [replacement]
 
@@ -111,12 +121,9 @@
         """Update the outcome for the time `now`; return the hedges that are due."""
         attempts = self._start_waiting(now)
         if self.outcome is None:
-            for shard_index, shard in enumerate(self.shards):
-                if shard.may_hedge() and now >= shard.sent_at + self.hedge_delay_s:
-                    shard.hedged = True
-                    attempt = self._start_attempt(shard_index, attempt_cause.HEDGE, now)
-                    if attempt is not None:
-                        attempts.append(attempt)
+            attempts += self._start_held_retries(now)
+            attempts += self._start_hedges(now)
+            self._give_up_held_retries()
         self._update_outcome(now)
         return attempts
 
@@ -124,7 +131,7 @@
         """Return the time of the next call of `tick`."""
         times = [self.end_at]
         sent_at = [shard.sent_at for shard in self.shards if shard.may_hedge()]
-        if sent_at:
+        if sent_at and not self._holds_extra_attempts():
             times.append(min(sent_at) + self.hedge_delay_s)
         has_enough = self.ends_at_aim and self.missing <= self.max_missing
         if has_enough or any(shard.waiting for shard in self.shards):
@@ -138,6 +145,37 @@
             if waiting is not None and waiting.notified:
                 self.state.replicas.connection_queue.notify(shard.service)
 
+    def _holds_extra_attempts(self) -> bool:
+        has_part = self.missing < len(self.shards)
+        return not has_part and self.unproven_extra_count >= const.UNPROVEN_EXTRA_ATTEMPTS
+
+    def _start_hedges(self, now: float) -> list[UpstreamAttempt]:
+        attempts = []
+        for shard_index, shard in enumerate(self.shards):
+            if self._holds_extra_attempts():
+                break
+            if shard.may_hedge() and now >= shard.sent_at + self.hedge_delay_s:
+                shard.hedged = True
+                attempts.append(self._start_attempt(shard_index, attempt_cause.HEDGE, now))
+        return [attempt for attempt in attempts if attempt is not None]
+
+    def _start_held_retries(self, now: float) -> list[UpstreamAttempt]:
+        attempts = []
+        for shard_index, shard in enumerate(self.shards):
+            if shard.retry_held and not self._holds_extra_attempts():
+                shard.retry_held = False
+                attempts.append(self._start_attempt(shard_index, attempt_cause.RETRY, now))
+        return [attempt for attempt in attempts if attempt is not None]
+
+    def _give_up_held_retries(self) -> None:
+        """Give up the retries that are held if no attempt is left that could bring a part."""
+        if self.attempts or any(shard.waiting for shard in self.shards):
+            return
+        for shard in self.shards:
+            if shard.retry_held and self._holds_extra_attempts():
+                shard.retry_held = False
+                self._give_up(shard)
+
     def _start_attempt(
         self, shard_index: int, cause: str, now: float, is_replacement: bool = False
     ) -> UpstreamAttempt | None:
@@ -164,6 +202,8 @@
                 self._give_up(shard)
             return None
         replica.acquire_rate(now)
+        if cause != attempt_cause.FIRST and not is_replacement:
+            self.unproven_extra_count += 1
         attempt = UpstreamAttempt(next_attempt_id(), shard_index, replica, cause)
         shard.tried_replicas.append(replica)
         shard.in_flight[attempt.attempt_id] = now
--- a/packages/decisions/src/spindle_decisions/routing/gather_shard.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_shard.py
@@ -12,8 +12,9 @@
 
     `in_flight` maps attempt ids to the times of sending, of which `sent_at` is the
     newest. `not_sent_count` counts the `tried_replicas` to which no byte was sent.
-    `waiting` is the attempt that waits for a connection. `given_up` is set once no
-    attempt is in flight and none can follow.
+    `waiting` is the attempt that waits for a connection. `retry_held` is set while a retry
+    waits for the first part of the request. `given_up` is set once no attempt is in flight
+    and none can follow.
     """
 
     service: str
@@ -25,6 +26,7 @@
     hedged: bool = False
     sent_at: float = 0.0
     waiting: WaitingAttempt | None = None
+    retry_held: bool = False
 
     def may_hedge(self) -> bool:
         """Return whether a hedge can still be sent beside the attempt in flight."""
