Quarantine requests that crash the upstreams that run them, at all instances

Cause: nobody remembered. The fingerprint that log lines have shows the same request six times in 20 s at five instances, each time sent to all shards, each time without a part. Class: a fault that comes with the request and is told apart from faults of upstreams nowhere.

Change: a request that broke two connections and was not answered is suspected, by a fingerprint of method, host, target and body. It then runs at one upstream at a time, where another one is left: a crash breaks innocent requests too, and an answer clears them. After three requests without an answer all instances refuse it for an hour as not run. What one instance finds out reaches all: entry instances report to control instances, which pass on what is new; heartbeats have a digest, so that restarted ones catch up.

--- a/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
@@ -15,6 +15,7 @@
 from spindle_daemon.components.fleet.list_reader import UpstreamListReader
 from spindle_daemon.components.fleet.own_fleet_instance import create_fleet_instance
 from spindle_daemon.components.fleet.upstream_list_codec import encode_upstream_list
+from spindle_daemon.components.quarantine.control_quarantine import ControlQuarantine
 from spindle_daemon.core.platform_adapter import PlatformAdapter
 from spindle_daemon.core.settings_reloaded import SettingsReloaded
 from spindle_daemon.core.spindle import Spindle
@@ -71,6 +72,9 @@
             fleet.seeds if fleet.founding else (),
         )
         self.entry_heartbeats: dict[str, EntryBeat] = {}
+        self.quarantine = ControlQuarantine(
+            spindle, self._primary_entry_addresses, self._other_control_addresses
+        )
         self.pushed_version = 0
         self.hello_count = 0
         self.reconnected_at: dict[str, float] = {}
@@ -217,8 +221,10 @@
             list_digest=self.list_cache.newest.digest,
             list_age_ms=self._list_age_ms(now),
             peers=self._changed_peers(now, heartbeat),
+            quarantine_digest=self.quarantine.digest(),
         )
         self.spindle.transport.send(address, reply)
+        self.quarantine.synchronize(address, heartbeat.quarantine_digest)
         is_repeated = previous is not None and previous.plan_version == heartbeat.plan_version
         if heartbeat.plan_version < plan.version and (heartbeat.primary or is_repeated):
             self.spindle.transport.send(address, self._plan_push())
@@ -246,24 +252,24 @@
 
     def _on_list(self, _sender: str, push: ListPush) -> None:
         if self.list_reader.on_push(push):
-            self._broadcast_list(())
+            self._broadcast_list([])
 
     def _on_read(self, changed: bool) -> None:
         if not changed:
             return
+        self._broadcast_list(self._other_control_addresses())
+
+    def _other_control_addresses(self) -> list[str]:
         now = self.spindle.clock.now()
         others = self.table.recently_seen(now, const.ROLE_CONTROL, const.LIVENESS_TIMEOUT_S)
-        self._broadcast_list(
-            tuple(item.address for item in others if item.name != self.own_instance.name)
-        )
+        return [item.address for item in others if item.name != self.own_instance.name]
 
-    def _broadcast_list(self, control_addresses: tuple[str, ...]) -> None:
-        entries = tuple(
-            heartbeat.instance.address
-            for heartbeat in self.entry_heartbeats.values()
-            if heartbeat.primary
-        )
-        for address in (*control_addresses, *entries):
+    def _primary_entry_addresses(self) -> list[str]:
+        heartbeats = self.entry_heartbeats.values()
+        return [item.instance.address for item in heartbeats if item.primary]
+
+    def _broadcast_list(self, control_addresses: list[str]) -> None:
+        for address in (*control_addresses, *self._primary_entry_addresses()):
             self._push_list(address)
 
     def _push_list(self, address: str) -> None:
--- a/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
@@ -16,6 +16,7 @@
 from spindle_daemon.components.fleet.own_fleet_instance import create_fleet_instance
 from spindle_daemon.components.fleet.plan_updated import PlanUpdated
 from spindle_daemon.components.fleet.upstream_list_updated import UpstreamListUpdated
+from spindle_daemon.components.quarantine.entry_quarantine import EntryQuarantine
 from spindle_daemon.core.platform_adapter import PlatformAdapter
 from spindle_daemon.core.settings_reloaded import SettingsReloaded
 from spindle_daemon.core.spindle import Spindle
@@ -67,6 +68,7 @@
         self.controls_digests: dict[str, str] = {}
         self.primary = ""
         self.heartbeat_count = 0
+        self.quarantine = EntryQuarantine(spindle, self._targets)
         self.list_refresh_age_s = const.LIST_REFRESH_ENTRY_S + spindle.rng.uniform(0.0, 1.0)
         self.list_reader = UpstreamListReader(
             spindle.clock,
@@ -154,6 +156,7 @@
             leaving,
             instances_digest(self.peers) if self.peers else "",
             self.controls_digests.get(address, ""),
+            self.quarantine.digest(),
         )
 
     def _targets(self) -> list[str]:
@@ -201,6 +204,7 @@
         control = self.table.instances.get(heartbeat.control)
         if control is None:
             return
+        self.quarantine.synchronize(control.address, heartbeat.quarantine_digest)
         self.responded_at[control.address] = now
         self.unanswered_since.pop(control.address, None)
         if heartbeat.controls is not None:
--- a/packages/daemon/src/spindle_daemon/components/routed/attempt_pool.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/attempt_pool.py
@@ -9,6 +9,7 @@
 from spindle_daemon.components.routed import const
 from spindle_daemon.components.routed.attempt_request import AttemptRequest
 from spindle_daemon.components.routed.attempt_result import AttemptResult
+from spindle_daemon.components.routed.reply_classifier import ReplyClass
 from spindle_daemon.components.routed.request_encoder import RequestEncoder
 from spindle_daemon.components.routed.request_trace import RequestTrace
 from spindle_daemon.components.routed.routed_request import RoutedRequest
@@ -23,6 +24,7 @@
     """Runs each attempt in a greenlet and yields results in the order of completion.
 
     `caller_gone` is set when the caller disconnects; its attempts are then cancelled.
+    `is_answered` is set with the first good answer of an upstream.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         self.wake = Event()
         self.greenlets: set[gevent.Greenlet] = set()
         self.caller_gone = False
+        self.is_answered = False
 
     def start_attempt(
         self,
@@ -85,7 +88,21 @@
 
     def _run_attempt(self, attempt_request: AttemptRequest) -> None:
         result = self.upstream_client.send(attempt_request)
-        if result.broken and not self.trace.fingerprint:
-            self.trace.fingerprint = request_fingerprint(self.request.caller_request)
+        self._record_in_quarantine(result)
         self.results.append(result)
         self.wake.set()
+
+    def _record_in_quarantine(self, result: AttemptResult) -> None:
+        """Record a break, unless an upstream has answered: then the request is not at fault."""
+        quarantine = self.upstream_client.quarantine
+        request = self.request.caller_request
+        if result.reply_class is ReplyClass.GOOD:
+            if not self.is_answered and not quarantine.is_empty():
+                quarantine.record_answer(request_fingerprint(request))
+            self.is_answered = True
+        elif result.broken:
+            self.trace.fingerprint = self.trace.fingerprint or request_fingerprint(request)
+            if not self.is_answered:
+                quarantine.record_break(
+                    self.trace.fingerprint, request.request_id, result.attempt.replica.upstream_id
+                )
--- a/packages/daemon/src/spindle_daemon/components/routed/const.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/const.py
@@ -27,6 +27,8 @@
 RETRY_AFTER_S = 0.1
 # Retry-After value while this instance has no plan; it usually has one that long after a start.
 RETRY_AFTER_STARTING_S = 0.3
+# Retry-After value while an equal request is tried at one upstream.
+RETRY_AFTER_TRIAL_S = 0.2
 # Deadline if the caller gives none; long enough that only the timeout of the route counts.
 DEFAULT_DEADLINE_S = 3_600.0
 # TCP_USER_TIMEOUT of connections to upstreams.
--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -12,6 +12,7 @@
 from spindle_daemon.components.routed.gather_runner import GatherRunner
 from spindle_daemon.components.routed.owner_desk import OwnerRpc
 from spindle_daemon.components.routed.owner_fanout_runner import OwnerFanoutRunner
+from spindle_daemon.components.routed.quarantine_gate import QuarantineGate
 from spindle_daemon.components.routed.request_trace import RequestTrace
 from spindle_daemon.components.routed.routed_request import RoutedRequest
 from spindle_daemon.components.routed.routed_response import RoutedResponse
@@ -25,6 +26,7 @@
 from spindle_decisions.routing.const import QUORUM_TIMEOUT_S, STARTUP_GRACE_S
 from spindle_decisions.routing.plan import EMPTY_PLAN
 from spindle_decisions.routing.retry_budget_limits import RetryBudgetLimits
+from spindle_decisions.routing.route import Route
 from spindle_decisions.routing.route_table import RouteTable
 from spindle_decisions.routing.routing_state import RoutingState
 from spindle_decisions.util.units import MS_PER_S
@@ -61,10 +63,15 @@
         )
         gevent.spawn_later(STARTUP_GRACE_S, self._divide_connections)
         self.upstream_client = UpstreamClient(
-            spindle.clock, adapter.headers, self.routing_state.replicas
+            spindle.clock, adapter.headers, self.routing_state.replicas, fleet.quarantine
         )
+        self.quarantine_gate = QuarantineGate(spindle.clock, self.routing_state, fleet.quarantine)
         self.owner_rpc = OwnerRpc(
-            spindle, self.upstream_client, self.routing_state, lambda: fleet.peers
+            spindle,
+            self.upstream_client,
+            self.routing_state,
+            lambda: fleet.peers,
+            self.quarantine_gate.is_blocked,
         )
         spindle.bus.listen(PlanUpdated, self._on_plan_updated)
         spindle.bus.listen(UpstreamListUpdated, self._on_upstream_list_updated)
@@ -120,6 +127,19 @@
         trace.decision_inputs = self._decision_inputs()
         if not self.routing_state.admit_request(route, self.spindle.clock.now()):
             raise OverloadedError("too few upstreams can be reached")
+        return self.quarantine_gate.run(
+            request.caller_request,
+            route,
+            lambda allowed: self._forward(request, allowed, caller, trace),
+        )
+
+    def _forward(
+        self,
+        request: RoutedRequest,
+        route: Route,
+        caller: CallerConnection,
+        trace: RequestTrace,
+    ) -> RoutedResponse | None:
         if route.shards and self.routing_state.uses_shard_owners and len(self.fleet.peers) > 1:
             fanout_runner = OwnerFanoutRunner(self.owner_rpc, route, request, trace)
             return with_disconnect_watch(fanout_runner.run, caller, fanout_runner.on_caller_gone)
--- a/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
@@ -19,6 +19,7 @@
 from spindle_decisions.routing.routing_state import RoutingState
 from spindle_decisions.routing.upstream_attempt import next_attempt_id
 from spindle_decisions.util.units import MS_PER_S
+from spindle_decisions.wire.caller_request import CallerRequest
 from spindle_decisions.wire.fleet_instance import FleetInstance
 from spindle_decisions.wire.spread_cancel import SpreadCancel
 from spindle_decisions.wire.spread_question import SpreadQuestion
@@ -33,6 +34,8 @@
     """Answers sub-requests for shards owned here, and sends sub-requests to other owners.
 
     Owners that do not respond are not asked until they answer a probe of `OwnerProber`.
+    A request for which `is_blocked` is true, because it crashes upstreams, is answered
+    without any part.
     """
 
     def __init__(
@@ -41,6 +44,7 @@
         upstream_client: UpstreamClient,
         routing_state: RoutingState,
         peers: Callable[[], tuple[FleetInstance, ...]],
+        is_blocked: Callable[[CallerRequest], bool],
     ) -> None:
         self.spindle = spindle
         self.upstream_client = upstream_client
@@ -50,6 +54,7 @@
         # Sub-requests of other instances by reply address and number.
         self.active: dict[tuple[str, int], GatherRunner] = {}
         self.peers = peers
+        self.is_blocked = is_blocked
         self.liveness = OwnerLiveness(self.name)
         self.prober = OwnerProber(spindle, self.liveness, peers, self.query_owner)
         spindle.transport.register_handler(SpreadQuestion, self._on_question)
@@ -119,7 +124,7 @@
 
     def _gather(self, question: SpreadQuestion, reply: ReplyListener) -> None:
         """Start a sub-request; `_on_cancel` may end it even before its greenlet has run."""
-        if not question.shards:
+        if not question.shards or self.is_blocked(question.request):
             reply(SpreadReply(question.seq, self.name, (), b"", 0))
             return
         trace = RequestTrace()
--- a/packages/daemon/src/spindle_daemon/components/routed/rate_limit_log.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/rate_limit_log.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from spindle_daemon.components.routed.log_rate_limiter import LogRateLimiter
+from spindle_daemon.helpers.log_rate_limiter import LogRateLimiter
 from spindle_decisions.routing.rate_limit import RateLimit
 from spindle_decisions.routing.replica import Replica
 
--- a/packages/daemon/src/spindle_daemon/components/routed/request_log.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/request_log.py
@@ -4,12 +4,12 @@
 from collections.abc import Mapping
 
 from spindle_daemon.components.routed import const
-from spindle_daemon.components.routed.log_rate_limiter import LogRateLimiter
 from spindle_daemon.components.routed.request_trace import RequestTrace
 from spindle_daemon.components.routed.routed_stats import RoutedStats
 from spindle_daemon.components.routed.timeline_events import record_request_events
 from spindle_daemon.core.clock import Clock
 from spindle_daemon.core.timeline_sink import TimelineSink
+from spindle_daemon.helpers.log_rate_limiter import LogRateLimiter
 from spindle_decisions.exceptions import SpindleError
 from spindle_decisions.routing.attempt_cause import FIRST
 from spindle_decisions.util.units import MS_PER_S
--- a/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from spindle_daemon.components.quarantine.entry_quarantine import EntryQuarantine
 from spindle_daemon.components.routed import const
 from spindle_daemon.components.routed.attempt_error import AttemptError
 from spindle_daemon.components.routed.attempt_request import AttemptRequest
@@ -28,8 +29,15 @@
 class UpstreamClient:
     """Holds the connections to all upstreams, and records the result of each attempt."""
 
-    def __init__(self, clock: Clock, header_names: HeaderNames, replicas: ReplicaPool) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        header_names: HeaderNames,
+        replicas: ReplicaPool,
+        quarantine: EntryQuarantine,
+    ) -> None:
         self.clock = clock
+        self.quarantine = quarantine
         self.replicas = replicas
         self.header_names = header_names
         self.pools: dict[str, RoutedConnectionPool] = {}
--- a/packages/decisions/src/spindle_decisions/exceptions.py
+++ b/packages/decisions/src/spindle_decisions/exceptions.py
@@ -114,6 +114,20 @@
     http_status = 503
 
 
+class QuarantinedError(RefusalError):
+    """The request crashed upstreams when it was sent before; this time nothing ran.
+
+    `retry_after_s` is the time after which it may be tried again.
+    """
+
+    code = "quarantined"
+    http_status = 503
+
+    def __init__(self, text: str, retry_after_s: float) -> None:
+        super().__init__(text)
+        self.retry_after_s = retry_after_s
+
+
 class LeavingError(RefusalError):
     """This instance is shutting down and accepts no new requests; nothing ran."""
 
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests that crash the upstreams that run them."""
--- /dev/null
+++ b/packages/decisions/src/spindle_decisions/quarantine/request_quarantine.py
@@ -0,0 +1,110 @@
+"""Requests that crash the upstreams that run them."""
+
+import hashlib
+
+from spindle_decisions.quarantine import const
+from spindle_decisions.quarantine.quarantine_entry import QuarantineEntry
+from spindle_decisions.quarantine.verdict import Verdict
+from spindle_decisions.util.units import MS_PER_S
+from spindle_decisions.wire.request_breaks import RequestBreaks
+
+
+class RequestQuarantine:
+    """Decides by fingerprint whether a request runs, is tried at one upstream, or is refused.
+
+    A request is suspected once its attempts broke `SUSPECT_BREAKS` connections and none was
+    answered: a crash also breaks the attempts of innocent requests at that upstream, so it
+    then runs at one upstream at a time. An answer clears it. Once `BLOCK_REQUESTS` requests
+    of callers ended so, it is blocked. What one instance finds out is merged into the
+    quarantine of all. Example:
+
+        quarantine.record_break(fingerprint, "id-1", "upstream-1", now)
+        if quarantine.verdict(fingerprint, now) is Verdict.BLOCKED: ...
+    """
+
+    def __init__(self) -> None:
+        # The entry with the latest news is last.
+        self.entries: dict[str, QuarantineEntry] = {}
+
+    def verdict(self, fingerprint: str, now: float) -> Verdict:
+        """Return what may be done with a request."""
+        entry = self.entries.get(fingerprint)
+        if entry is None or not entry.is_suspect() or self._is_expired(entry, now):
+            return Verdict.NORMAL
+        if entry.is_blocked() and now - entry.broken_at < const.BLOCK_S:
+            return Verdict.BLOCKED
+        return Verdict.TRIAL
+
+    def broken_at(self, fingerprint: str) -> float:
+        """Return when a request last broke a connection, in the clock of this instance."""
+        entry = self.entries.get(fingerprint)
+        return 0.0 if entry is None else entry.broken_at
+
+    def blocked_for_s(self, fingerprint: str, now: float) -> float:
+        """Return the seconds until a blocked request may be tried again."""
+        entry = self.entries.get(fingerprint)
+        return 0.0 if entry is None else max(0.0, entry.broken_at + const.BLOCK_S - now)
+
+    def record_break(
+        self, fingerprint: str, request_id: str, upstream_id: str, broken_at: float
+    ) -> bool:
+        """Record that an attempt broke its connection; return whether that is news."""
+        entry = self.entries.pop(fingerprint, None)
+        if entry is None or self._is_expired(entry, broken_at):
+            entry = QuarantineEntry(broken_at)
+        self.entries[fingerprint] = entry
+        if len(self.entries) > const.MAX_ENTRIES:
+            self._evict()
+        return entry.add(
+            request_id[: const.MAX_ID_CHARS], upstream_id[: const.MAX_ID_CHARS], broken_at
+        )
+
+    def clear(self, fingerprint: str) -> bool:
+        """Forget a request that was answered; return whether it was suspected."""
+        entry = self.entries.pop(fingerprint, None)
+        return entry is not None and entry.is_suspect()
+
+    def merge(self, item: RequestBreaks, now: float) -> bool:
+        """Merge what another instance knows; return whether that is news."""
+        if item.cleared:
+            return self.clear(item.fingerprint)
+        broken_at = now - max(0, item.age_ms) / MS_PER_S
+        changed = False
+        for request_id, upstream_id in item.breaks:
+            changed |= self.record_break(item.fingerprint, request_id, upstream_id, broken_at)
+        return changed
+
+    def breaks_of(self, fingerprint: str, now: float) -> RequestBreaks:
+        """Return what is known of a request, for other instances."""
+        entry = self.entries.get(fingerprint)
+        if entry is None:
+            return RequestBreaks(fingerprint, (), 0, cleared=True)
+        age_ms = int(max(0.0, now - entry.broken_at) * MS_PER_S)
+        return RequestBreaks(fingerprint, entry.pairs(), age_ms)
+
+    def suspects(self, now: float) -> tuple[str, ...]:
+        """Return the fingerprints of the suspected requests with the latest news, at most
+        `MAX_SENT_ENTRIES`; forgets those whose time is over.
+        """
+        for fingerprint in [
+            name for name, entry in self.entries.items() if self._is_expired(entry, now)
+        ]:
+            del self.entries[fingerprint]
+        names = [name for name, entry in self.entries.items() if entry.is_suspect()]
+        return tuple(names[-const.MAX_SENT_ENTRIES :])
+
+    def digest(self, now: float) -> str:
+        """Return a digest of the suspected requests, empty without any."""
+        names = self.suspects(now)
+        if not names:
+            return ""
+        content = repr(sorted((name, self.entries[name].pairs()) for name in names))
+        return hashlib.blake2b(content.encode(), digest_size=8).hexdigest()
+
+    def _is_expired(self, entry: QuarantineEntry, now: float) -> bool:
+        return not entry.is_blocked() and now - entry.broken_at > const.SUSPECT_TTL_S
+
+    def _evict(self) -> None:
+        """Forget the oldest entry that is not blocked, or the oldest of all."""
+        names = (name for name, entry in self.entries.items() if not entry.is_blocked())
+        del self.entries[next(names, next(iter(self.entries)))]
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -94,4 +94,4 @@
 MIN_RATE_LIMIT_PER_S = 0.5
 # Hedges and retries of a gather that are sent before its first part has arrived. A request
 # that crashes the upstreams that run it would take those of a shard one after the other.
-UNPROVEN_EXTRA_ATTEMPTS = 3
+UNPROVEN_EXTRA_ATTEMPTS = 1
--- a/packages/decisions/src/spindle_decisions/routing/replica.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica.py
@@ -1,5 +1,7 @@
 """Health and load of one upstream as observed by this instance."""
 
+import math
+
 from spindle_decisions.routing import const
 from spindle_decisions.routing.listed_upstream import ListedUpstream
 from spindle_decisions.routing.rate_limit import RateLimit
@@ -25,6 +27,7 @@
         self.last_failure_rate = 0.0
         self.failure_rate_at = 0.0
         self.consecutive_failures = 0
+        self.answered_at = -math.inf
         self.ejected_until = 0.0
         self.unreachable_until = 0.0
         self.reported_load = 0
@@ -89,6 +92,7 @@
         self.last_failure_rate = self.failure_rate(now) * (1 - const.FAILURE_WEIGHT)
         self.failure_rate_at = now
         self.consecutive_failures = 0
+        self.answered_at = now
         self.unreachable_until = 0.0
 
     def record_abandoned(self, now: float, waited_s: float, median_s: float) -> None:
--- a/packages/decisions/src/spindle_decisions/routing/replica_pool.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica_pool.py
@@ -101,6 +101,13 @@
         unreachable = self.reachability.is_unreachable(replica.listed.data_center, now)
         return not unreachable and not replica.is_ejected(now)
 
+    def healthy_count(self, service: str, now: float, answered_after: float) -> int:
+        """Return the number of healthy replicas of a service that answered after a time."""
+        return sum(
+            item.is_ready() and self.is_healthy(item, now) and item.answered_at >= answered_after
+            for item in self.by_service.get(service, ())
+        )
+
     def is_service_reachable(self, service: str, now: float) -> bool:
         """Return whether any replica of a service is ready and not known as unreachable."""
         return any(
--- a/packages/decisions/src/spindle_decisions/wire/control_beat.py
+++ b/packages/decisions/src/spindle_decisions/wire/control_beat.py
@@ -12,7 +12,8 @@
     `controls` is `None` if the receiver has the same control instances already, and
     `peers` if it has the same entry instances of its data centre. `entries` is the
     number of live entry instances. `quorum_age_ms` is the time since the last contact
-    with a quorum, `list_age_ms` the age of the list of upstreams.
+    with a quorum, `list_age_ms` the age of the list of upstreams. `quarantine_digest` is that
+    of the requests in quarantine.
     """
 
     control: str
@@ -23,3 +24,4 @@
     list_digest: str
     list_age_ms: int
     peers: tuple[FleetInstance, ...] | None = None
+    quarantine_digest: str = ""
--- a/packages/decisions/src/spindle_decisions/wire/entry_beat.py
+++ b/packages/decisions/src/spindle_decisions/wire/entry_beat.py
@@ -12,6 +12,7 @@
     which pushes a newer plan or list without waiting for a heartbeat. `peers_digest` is the
     digest of the entry instances of its data centre that the sender knows, and
     `controls_digest` that of the control instances last reported by the receiver.
+    `quarantine_digest` is that of the requests in quarantine.
     """
 
     instance: FleetInstance
@@ -21,3 +22,4 @@
     leaving: bool = False
     peers_digest: str = ""
     controls_digest: str = ""
+    quarantine_digest: str = ""
--- a/packages/decisions/src/spindle_decisions/wire/message.py
+++ b/packages/decisions/src/spindle_decisions/wire/message.py
@@ -16,6 +16,7 @@
 from spindle_decisions.wire.plan_push import PlanPush
 from spindle_decisions.wire.propose import Propose
 from spindle_decisions.wire.propose_reply import ProposeReply
+from spindle_decisions.wire.quarantine_update import QuarantineUpdate
 from spindle_decisions.wire.raft_packet import RaftPacket
 from spindle_decisions.wire.spread_cancel import SpreadCancel
 from spindle_decisions.wire.spread_question import SpreadQuestion
@@ -45,6 +46,7 @@
     | SpreadReply
     | SpreadCancel
     | OwnerSuspicion
+    | QuarantineUpdate
     | StatusWanted
     | SummaryAck
     | SummaryReport
--- a/tests/daemon/routed/common.py
+++ b/tests/daemon/routed/common.py
@@ -11,6 +11,7 @@
 
 from spindle_daemon.components.fleet.plan_updated import PlanUpdated
 from spindle_daemon.components.fleet.upstream_list_updated import UpstreamListUpdated
+from spindle_daemon.components.quarantine.entry_quarantine import EntryQuarantine
 from spindle_daemon.components.routed.application import RoutedApplication
 from spindle_daemon.components.routed.coordinator import RoutedCoordinator
 from spindle_daemon.components.routed.request_log import RoutedRequestLog
@@ -127,8 +128,9 @@
 class FakeFleetCoordinator:
     """Fleet coordinator with a confirmed plan and contact to a quorum."""
 
-    def __init__(self) -> None:
+    def __init__(self, spindle: Spindle) -> None:
         self.list_cache = UpstreamListCache()
+        self.quarantine = EntryQuarantine(spindle, lambda: ["control-1"])
         self.peers: tuple[FleetInstance, ...] = ()
 
     def was_plan_confirmed(self) -> bool:
@@ -146,6 +148,10 @@
     def register_handler(self, kind: object, handler: object) -> None:
         """Ignore the handler."""
 
+    def send(self, address: str, message: object) -> bool:
+        """Drop the message."""
+        return False
+
 
 class RoutedHarness:
     """Entry instance with a plan and scripted upstreams."""
@@ -161,7 +167,7 @@
         self.caller_timeout_s = TIMEOUT_S
         self.spindle = Spindle(_settings(name), SystemClock(), random.Random(1), 1)
         self.spindle.transport = transport or NullTransport()  # type: ignore[assignment]
-        self.fleet = FakeFleetCoordinator()
+        self.fleet = FakeFleetCoordinator(self.spindle)
         routed = self.spindle.settings.routed
         assert routed is not None
         adapter = PlatformAdapter(HEADERS, Paths("GET /r", "POST /p", "GET /p"), None, None)  # type: ignore[arg-type]
--- a/tests/daemon/routed/test_log.py
+++ b/tests/daemon/routed/test_log.py
@@ -7,11 +7,11 @@
 from nose2.tools import params
 
 from spindle_daemon.components.routed import const
-from spindle_daemon.components.routed.log_rate_limiter import LogRateLimiter
 from spindle_daemon.components.routed.request_log import RoutedRequestLog
 from spindle_daemon.components.routed.request_trace import RequestTrace
 from spindle_daemon.components.routed.routed_stats import RoutedStats
 from spindle_daemon.components.timeline.timeline_buffer import TimelineBuffer
+from spindle_daemon.helpers.log_rate_limiter import LogRateLimiter
 from spindle_decisions.exceptions import OverloadedError
 from spindle_decisions.timeline.hybrid_clock import HybridClock
 from spindle_decisions.timeline.request_explanation import explain_request
--- a/tests/daemon/routed/test_owner_desk.py
+++ b/tests/daemon/routed/test_owner_desk.py
@@ -40,7 +40,7 @@
         spindle = SimpleNamespace(
             settings=settings, clock=SystemClock(), transport=self.mesh.transport(name)
         )
-        return OwnerRpc(spindle, None, None, lambda: self.peers)  # type: ignore[arg-type]
+        return OwnerRpc(spindle, None, None, lambda: self.peers, lambda _request: False)  # type: ignore[arg-type]
 
     def users_of(self, name: str) -> list[str]:
         """Return the instances that would ask an owner."""
--- a/tests/daemon/routed/test_query_of_death.py
+++ b/tests/daemon/routed/test_query_of_death.py
@@ -3,11 +3,26 @@
 import logging
 import unittest
 
+import gevent
 from nose2.tools import params
 
-from tests.daemon.routed.common import Request, ScriptedUpstream, UpstreamScript, routed_harness
+from spindle_decisions.routing import const
+from spindle_decisions.routing.request_fingerprint import request_fingerprint
+from spindle_decisions.wire.caller_request import CallerRequest
+from spindle_decisions.wire.spread_question import SpreadQuestion
+from spindle_decisions.wire.spread_reply import SpreadReply
+from spindle_platform.platform_adapter import HEADERS
+from tests.daemon.routed.common import (
+    ID,
+    Request,
+    ScriptedUpstream,
+    UpstreamScript,
+    routed_harness,
+)
+from tests.decisions.routing.common import HOST, gather_route, single_route
 
 LOGGER = "spindle_daemon.components.routed.request_log"
+DEADLY = "21a54b"
 
 
 def crash(_request: Request) -> bytes:
@@ -30,3 +45,105 @@
         line = vars(caught.records[0])
         self.assertEqual(line.get("broken"), broken)
         self.assertEqual(bool(line.get("fingerprint")), broken is not None)
+
+
+class TestQuarantine(unittest.TestCase):
+    """Requests to `DEADLY` crash an upstream; all others are answered."""
+
+    def setUp(self) -> None:
+        self.runs: list[str] = []
+
+    def script(self, request: Request) -> bytes:
+        if DEADLY not in request.line:
+            return request.answer(b"x" * 16)
+        self.runs.append(request.headers[HEADERS.expect_upstream])
+        return crash(request)
+
+    def upstreams(self, *names: str) -> list[ScriptedUpstream]:
+        return [ScriptedUpstream(name, name.partition("-")[0], self.script) for name in names]
+
+    @params(True, False)
+    def test_lookup_is_refused_after_three_requests_and_others_are_served(
+        self, idempotent: bool
+    ) -> None:
+        upstreams = self.upstreams("desk-1", "desk-2", "desk-3", "desk-4")
+        with routed_harness(*upstreams, routes=(single_route(idempotent),)) as entry:
+            entry.coordinator.quarantine_gate.trial_delay_s = 0.0
+            answers = []
+            for number in range(10):
+                answers.append(entry.ask(f"/lookup/{DEADLY}", **{ID: f"id-{number}"}))
+                for other in range(8):
+                    self.assertEqual(entry.ask(f"/lookup/{number}-{other}").status, 200)
+        self.assertLessEqual(len(self.runs), 4)
+        self.assertEqual({answer.status for answer in answers[4:]}, {503})
+        self.assertIn(b"quarantined", answers[-1].body)
+        self.assertGreater(float(answers[-1].headers["retry-after"]), 3_000.0)
+
+    def test_gather_is_refused_after_three_requests_and_others_are_served(self) -> None:
+        shards = 10
+        upstreams = self.upstreams(
+            *(f"s{number}-{letter}" for number in range(shards) for letter in "ab")
+        )
+        with routed_harness(*upstreams, routes=(gather_route(shards, 0.9),)) as entry:
+            entry.coordinator.quarantine_gate.trial_delay_s = 0.0
+            answers = []
+            for number in range(10):
+                answers.append(entry.ask(f"/search/{DEADLY}", **{ID: f"id-{number}"}))
+                for other in range(6):
+                    self.assertEqual(entry.ask(f"/search/{number}-{other}").status, 200)
+        self.assertLessEqual(len(self.runs), shards + const.UNPROVEN_EXTRA_ATTEMPTS + 2)
+        self.assertIn(b"quarantined", answers[-1].body)
+
+    def test_few_callers_leave_upstreams_unused_and_it_is_tried_after_a_delay(self) -> None:
+        with routed_harness(
+            *self.upstreams("desk-1", "desk-2", "desk-3"), routes=(single_route(),)
+        ) as entry:
+            entry.coordinator.quarantine_gate.trial_delay_s = 0.1
+            for number in range(3):
+                entry.ask(f"/lookup/{DEADLY}", **{ID: f"id-{number}"})
+            self.assertEqual(len(self.runs), 2)
+            gevent.sleep(0.15)
+            entry.ask(f"/lookup/{DEADLY}", **{ID: "id-9"})
+        self.assertEqual(len(self.runs), 3)
+
+    def test_the_last_upstream_is_not_used_for_a_trial(self) -> None:
+        with routed_harness(*self.upstreams("desk-1", "desk-2"), routes=(single_route(),)) as entry:
+            for number in range(5):
+                entry.ask(f"/lookup/{DEADLY}", **{ID: f"id-{number}"})
+        self.assertEqual(len(self.runs), 2, "no upstream has answered since")
+
+    def test_request_beside_a_crash_is_tried_and_served(self) -> None:
+        """Two attempts broke because of another request; the next one is answered."""
+        broken: list[Request] = []
+
+        def script(request: Request) -> bytes:
+            if "innocent" in request.line and len(broken) < 2:
+                broken.append(request)
+                return b""
+            return request.answer(b"x" * 16)
+
+        upstreams = [
+            ScriptedUpstream(f"s{shard}-{letter}", f"s{shard}", script)
+            for shard in range(2)
+            for letter in "ab"
+        ]
+        with routed_harness(*upstreams, routes=(gather_route(2, 0.9, max_attempts=1),)) as entry:
+            entry.coordinator.quarantine_gate.trial_delay_s = 0.0
+            self.assertEqual(entry.ask("/search/innocent").status, 502)
+            for number in range(8):
+                self.assertEqual(entry.ask(f"/search/{number}").status, 200)
+            self.assertEqual(entry.ask("/search/innocent", **{ID: "id-2"}).status, 200)
+            self.assertTrue(entry.fleet.quarantine.is_empty())
+
+    def test_owner_answers_a_blocked_request_without_parts(self) -> None:
+        with routed_harness(*self.upstreams("s0-a", "s1-a")) as entry:
+            request = CallerRequest("GET", f"/search/{DEADLY}", HOST, (), b"", False, "id-9")
+            fingerprint = request_fingerprint(request)
+            for number in range(3):
+                entry.fleet.quarantine.record_break(fingerprint, f"id-{number}", f"u{number}")
+            question = SpreadQuestion(7, "asker", ("s0", "s1"), 5, "r", 2, 100, 500, request)
+            replies: list[SpreadReply] = []
+            entry.coordinator.owner_rpc._gather(question, replies.append)
+            gevent.sleep(0.05)
+        self.assertEqual([(item.signatures, item.more) for item in replies], [((), False)])
+        self.assertEqual(self.runs, [])
--- /dev/null
+++ b/tests/decisions/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quarantine of requests that crash upstreams."""
