Send nothing to an upstream at whose address another one answers

The address of an upstream that was gone had passed to one of another shard; the other upstream of its service was down, and of two unhealthy upstreams the selection takes either rather than none. Each request of a gather so reached the innocent upstream twice. Class: a last resort that cannot help.

Change: a 421 is proof, no signal that may be false; such an upstream gets nothing for the time of its hold, within which the list shows the change.

Tests: tests.decisions.routing.test_replicas.TestReusedAddress, one of two failed before.

--- a/packages/decisions/src/spindle_decisions/routing/replica.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica.py
@@ -30,6 +30,7 @@
         self.answered_at = -math.inf
         self.ejected_until = 0.0
         self.unreachable_until = 0.0
+        self.misdirected_until = 0.0
         self.reported_load = 0
         self.reported_load_at = -const.LOAD_REPORT_MAX_AGE_S
         self.warmed_up_at = 0.0
@@ -135,7 +136,7 @@
 
     def record_misdirected(self, now: float) -> None:
         """Record that another upstream answered at its address; ejects this one."""
-        self.ejected_until = now + const.MISDIRECTED_HOLD_S
+        self.misdirected_until = self.ejected_until = now + const.MISDIRECTED_HOLD_S
         self.consecutive_failures = const.EJECTION_FAILURES
 
     def record_load_report(self, now: float, running: int, waiting: int) -> None:
--- a/packages/decisions/src/spindle_decisions/routing/replica_pool.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica_pool.py
@@ -59,14 +59,18 @@
         """Return the replica with the least expected latency, or `None` if none is free.
 
         Unhealthy replicas are selected when there is no other, so that a false failure
-        signal cannot leave a service without replicas. A replica whose share of a rate
+        signal cannot leave a service without replicas; but not one at whose address another
+        upstream answers, which gets requests that are not meant for it. A replica whose share of a rate
         limit is used up is not selected, and one with a rate limit never for a hedge: its
         requests are for those who have no other attempt.
         """
         available = [
             item
             for item in self.by_service.get(service, ())
-            if item.is_ready() and not item.is_at_connection_limit() and item not in tried
+            if item.is_ready()
+            and not item.is_at_connection_limit()
+            and now >= item.misdirected_until
+            and item not in tried
         ]
         available = [item for item in available if not _is_withheld(item, now, is_hedge)]
         if not available:
--- a/tests/decisions/routing/test_replicas.py
+++ b/tests/decisions/routing/test_replicas.py
@@ -205,3 +205,30 @@
                 acquired[name] += 1
         self.assertGreater(acquired["s0"], 4)
         self.assertEqual(acquired["s1"], 0)
+
+
+class TestReusedAddress(unittest.TestCase):
+    """An upstream is gone, and another service's upstream answers at its address.
+
+    Guards against requests that reach that other upstream again and again, as extra attempts
+    beyond its retry budget, while the list still names the one that is gone.
+    """
+
+    def setUp(self) -> None:
+        self.state = routing_state(listed("gone", "s0", HERE), listed("down", "s0", AWAY))
+        self.gone = self.state.replicas.replicas["gone"]
+        self.gone.record_misdirected(NOW)
+
+    def test_is_not_used_although_no_other_upstream_is_healthy(self) -> None:
+        down = self.state.replicas.replicas["down"]
+        down.record_connect_failure(NOW)
+        selected = {
+            self.state.replicas.select_replica("s0", NOW + 0.1 * tenths, MEDIAN_S)
+            for tenths in range(50)
+        }
+        self.assertEqual(selected, {down})
+        self.assertIsNone(self.state.replicas.select_replica("s0", NOW, MEDIAN_S, (down,)))
+
+    def test_is_used_again_when_the_list_still_names_it_later(self) -> None:
+        later = NOW + const.MISDIRECTED_HOLD_S
+        self.assertIs(self.state.replicas.select_replica("s0", later, MEDIAN_S), self.gone)
