--- a/packages/decisions/src/spindle_decisions/routing/replica_pool.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica_pool.py
@@ -60,9 +60,9 @@
 
         Unhealthy replicas are selected when there is no other, so that a false failure
         signal cannot leave a service without replicas; but not one at whose address another
-        upstream answers, which gets requests that are not meant for it. A replica whose share of a rate
-        limit is used up is not selected, and one with a rate limit never for a hedge: its
-        requests are for those who have no other attempt.
+        upstream answers, which gets requests that are not meant for it. A replica whose
+        share of a rate limit is used up is not selected, and one with a rate limit never for
+        a hedge: its requests are for those who have no other attempt.
         """
         available = [
             item
