Send no extra attempts of owners before their first part

Change: an owner of three or more shards of a gather sends none; another of its shards answers first if the request can be answered.

Test: test_owner_of_several_shards_sends_no_extra_attempts, 6 runs before where 5 are allowed.

--- a/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -13,7 +13,12 @@
 from spindle_daemon.components.routed.routed_response import RoutedResponse
 from spindle_daemon.components.routed.time_left import time_left_s
 from spindle_decisions.exceptions import OverloadedError
-from spindle_decisions.routing.const import OWNER_REPLY_MARGIN_S, RESPONSE_MARGIN_S
+from spindle_decisions.routing.const import (
+    MIN_SHARDS_WITHOUT_UNPROVEN_EXTRAS,
+    OWNER_REPLY_MARGIN_S,
+    RESPONSE_MARGIN_S,
+    UNPROVEN_EXTRA_ATTEMPTS,
+)
 from spindle_decisions.routing.gather_execution import GatherExecution
 from spindle_decisions.routing.owner_response import OwnerResponse
 from spindle_decisions.routing.records import merge_top_records
@@ -37,6 +42,7 @@
         self.route = route
         now = attempt_pool.clock.now()
         limit_s = time_left_s(attempt_pool.request, route, now)
+        has_many_shards = len(route.shards) >= MIN_SHARDS_WITHOUT_UNPROVEN_EXTRAS
         self.gather = GatherExecution(
             route,
             routing_state,
@@ -45,6 +51,9 @@
             attempt_pool.wake.set,
             ends_at_aim=not is_for_owner,
             margin_s=OWNER_REPLY_MARGIN_S if is_for_owner else RESPONSE_MARGIN_S,
+            max_unproven_extras=(
+                0 if is_for_owner and has_many_shards else UNPROVEN_EXTRA_ATTEMPTS
+            ),
         )
 
     def run(self) -> RoutedResponse | None:
--- a/packages/decisions/src/spindle_decisions/routing/const.py
+++ b/packages/decisions/src/spindle_decisions/routing/const.py
@@ -95,3 +95,6 @@
 # Hedges and retries of a gather that are sent before its first part has arrived. A request
 # that crashes the upstreams that run it would take those of a shard one after the other.
 UNPROVEN_EXTRA_ATTEMPTS = 1
+# An owner with at least this many shards of a gather sends none of these: the request has many
+# owners, and each would take the second upstream of another shard.
+MIN_SHARDS_WITHOUT_UNPROVEN_EXTRAS = 3
--- a/packages/decisions/src/spindle_decisions/routing/gather_execution.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_execution.py
@@ -20,7 +20,7 @@
     once the least share of parts has arrived, the request ends at the aim at the
     latest, and before the aim only when no further part can arrive.
 
-    Until the first part has arrived, only `UNPROVEN_EXTRA_ATTEMPTS` hedges and retries are
+    Until the first part has arrived, only `max_unproven_extras` hedges and retries are
     sent; the others are held until then, and given up if it cannot arrive any more.
 
     A shard whose upstreams have no free connection waits for one if its turn comes soon
@@ -44,6 +44,7 @@
         wake: Callable[[], object] = lambda: None,
         ends_at_aim: bool = True,
         margin_s: float = const.RESPONSE_MARGIN_S,
+        max_unproven_extras: int = const.UNPROVEN_EXTRA_ATTEMPTS,
     ) -> None:
         self.route = route
         self.state = state
@@ -58,6 +59,7 @@
         self.missing = len(self.shards)
         self.max_missing = len(self.shards) - min_parts(route)
         self.given_up_count = 0
+        self.max_unproven_extras = max_unproven_extras
         self.unproven_extra_count = 0
         self.outcome: GatherOutcome | None = None
         self.attempts: dict[int, UpstreamAttempt] = {}
@@ -147,7 +149,7 @@
 
     def _holds_extra_attempts(self) -> bool:
         has_part = self.missing < len(self.shards)
-        return not has_part and self.unproven_extra_count >= const.UNPROVEN_EXTRA_ATTEMPTS
+        return not has_part and self.unproven_extra_count >= self.max_unproven_extras
 
     def _start_hedges(self, now: float) -> list[UpstreamAttempt]:
         attempts = []
--- a/tests/daemon/routed/test_query_of_death.py
+++ b/tests/daemon/routed/test_query_of_death.py
@@ -135,6 +135,21 @@
             self.assertEqual(entry.ask("/search/innocent", **{ID: "id-2"}).status, 200)
             self.assertTrue(entry.fleet.quarantine.is_empty())
 
+    def test_owner_of_several_shards_sends_no_extra_attempts(self) -> None:
+        """A gather has many owners: one extra attempt of each would take as many shards."""
+        upstreams = self.upstreams(
+            *(f"s{number}-{letter}" for number in range(5) for letter in "ab")
+        )
+        with routed_harness(*upstreams, routes=(gather_route(5, 0.9),)) as entry:
+            request = CallerRequest("GET", f"/search/{DEADLY}", HOST, (), b"", False, "id-9")
+            shards = tuple(f"s{number}" for number in range(5))
+            question = SpreadQuestion(7, "asker", shards, 5, "r", 2, 100, 500, request)
+            replies: list[SpreadReply] = []
+            entry.coordinator.owner_rpc._gather(question, replies.append)
+            gevent.sleep(0.2)
+        self.assertEqual(len(self.runs), 5)
+        self.assertEqual([(item.signatures, item.more) for item in replies], [((), False)])
+
     def test_owner_answers_a_blocked_request_without_parts(self) -> None:
         with routed_harness(*self.upstreams("s0-a", "s1-a")) as entry:
             request = CallerRequest("GET", f"/search/{DEADLY}", HOST, (), b"", False, "id-9")
