Bound what the logs of rate limits and quarantine remember

Both kept an entry for each upstream and request that they had ever written a line about: an upstream that left while it was limited, and a suspicion that ended with time, were never dropped.

Tests: test_upstream_that_is_gone_is_forgotten, test_log_keeps_no_more_than_the_quarantine; both failed before.

--- a/packages/daemon/src/spindle_daemon/components/quarantine/quarantine_log.py
+++ b/packages/daemon/src/spindle_daemon/components/quarantine/quarantine_log.py
@@ -4,6 +4,7 @@
 
 from spindle_daemon.components.quarantine.const import LOG_LINES_PER_S
 from spindle_daemon.helpers.log_rate_limiter import LogRateLimiter
+from spindle_decisions.quarantine.const import MAX_ENTRIES
 from spindle_decisions.quarantine.request_quarantine import RequestQuarantine
 from spindle_decisions.quarantine.verdict import Verdict
 
@@ -33,6 +34,7 @@
             del self.logged[fingerprint]
         else:
             self.logged[fingerprint] = verdict
+            self._drop_expired(now)
         if not self.rate_limiter.try_acquire(now):
             return
         breaks = self.quarantine.breaks_of(fingerprint, now).breaks
@@ -45,3 +47,12 @@
             "left_out": self.rate_limiter.take_suppressed_count(),
         }
         _LOGGER.warning("quarantine: %s", _EVENTS[verdict], extra=fields)
+
+    def _drop_expired(self, now: float) -> None:
+        """Forget suspicions that ended with time, once there are many."""
+        if len(self.logged) > MAX_ENTRIES:
+            self.logged = {
+                fingerprint: verdict
+                for fingerprint, verdict in self.logged.items()
+                if self.quarantine.verdict(fingerprint, now) is not Verdict.NORMAL
+            }
--- a/packages/daemon/src/spindle_daemon/components/routed/rate_limit_log.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/rate_limit_log.py
@@ -1,6 +1,7 @@
 """Log lines of upstreams that name a rate limit."""
 
 import logging
+from collections.abc import Container
 
 from spindle_daemon.helpers.log_rate_limiter import LogRateLimiter
 from spindle_decisions.routing.rate_limit import RateLimit
@@ -33,6 +34,10 @@
         elif now - logged[1] >= INTERVAL_S:
             self._log_line("upstream-limited", replica, logged, now)
 
+    def retain(self, upstream_ids: Container[str]) -> None:
+        """Forget the upstreams that are not listed any more."""
+        self.logged = {key: value for key, value in self.logged.items() if key in upstream_ids}
+
     def _log_line(
         self,
         event: str,
--- a/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/upstream_client.py
@@ -165,3 +165,4 @@
                 self.pools.pop(upstream_id).close()
             else:
                 self.pools[upstream_id].set_max_connections(replica.connection_share)
+        self.rate_limit_log.retain(replicas)
--- a/tests/daemon/quarantine/test_spread.py
+++ b/tests/daemon/quarantine/test_spread.py
@@ -9,6 +9,7 @@
 from spindle_daemon.components.quarantine.control_quarantine import ControlQuarantine
 from spindle_daemon.components.quarantine.entry_quarantine import EntryQuarantine
 from spindle_daemon.core.clock import SystemClock
+from spindle_decisions.quarantine.const import MAX_ENTRIES
 from spindle_decisions.quarantine.verdict import Verdict
 from spindle_decisions.wire.quarantine_update import QuarantineUpdate
 from tests.daemon.routed.memory_mesh import MemoryMesh
@@ -94,3 +95,10 @@
         own = [item for item in self.mesh.messages(QuarantineUpdate) if item[0] == "front-0"]
         self.assertEqual(len(own), 2)
         self.assertLessEqual(len(own[0][2].items), MAX_REPORTED)
+
+    def test_log_keeps_no_more_than_the_quarantine(self) -> None:
+        entry = self.entries["front-0"]
+        for number in range(2 * MAX_ENTRIES):
+            for upstream_id in ("u1", "u2"):
+                entry.record_break(f"{number}", f"id-{number}", upstream_id)
+        self.assertLessEqual(len(entry.log.logged), MAX_ENTRIES + 1)
--- a/tests/daemon/routed/test_rate_limit.py
+++ b/tests/daemon/routed/test_rate_limit.py
@@ -50,6 +50,17 @@
                 limits.append(replica.rate_limit and replica.rate_limit.per_s)
         self.assertEqual(limits, [None, 80.0, 80.0])
 
+    def test_upstream_that_is_gone_is_forgotten(self) -> None:
+        self.limit = "50"
+        upstream = ScriptedUpstream("u1", "desk", self.script)
+        other = ScriptedUpstream("u2", "desk", self.script)
+        with routed_harness(upstream, other) as entry:
+            for _ in range(4):
+                entry.ask("/lookup/1")
+            entry.list_upstreams(other.listed())
+            logged = entry.coordinator.upstream_client.rate_limit_log.logged
+        self.assertNotIn("u1", logged)
+
     def test_the_answer_to_an_earlier_request_does_not_end_a_limit(self) -> None:
         with routed_harness(ScriptedUpstream("u1", "desk", self.script)) as entry:
             replica = entry.coordinator.routing_state.replicas.replicas["u1"]
