Count no silent connection as a crash of its upstream

In a partition connections end with a time-out of the kernel or without a route. They counted as broken, so that requests of callers beside a partition could be suspected of crashing upstreams.

Test: test_silence_is_no_crash, two of four cases failed before.

--- a/packages/daemon/src/spindle_daemon/components/routed/routed_connection.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/routed_connection.py
@@ -72,7 +72,7 @@
         except ReplyTooLongError as err:
             raise AttemptError(str(err), not_sent=False, too_long=True) from err
         except Exception as err:
-            is_broken = isinstance(err, OSError) and not parser.received_bytes
+            is_broken = isinstance(err, ConnectionError) and not parser.received_bytes
             text = f"{type(err).__name__}: {err}"[:200]
             raise AttemptError(text, not_sent=False, broken=is_broken) from err
         finally:
--- a/tests/daemon/routed/test_query_of_death.py
+++ b/tests/daemon/routed/test_query_of_death.py
@@ -6,6 +6,9 @@
 import gevent
 from nose2.tools import params
 
+from spindle_daemon.components.routed.attempt_error import AttemptError
+from spindle_daemon.components.routed.receive_budget import ReceiveBudget
+from spindle_daemon.components.routed.routed_connection import RoutedConnection
 from spindle_decisions.routing import const
 from spindle_decisions.routing.request_fingerprint import request_fingerprint
 from spindle_decisions.wire.caller_request import CallerRequest
@@ -47,6 +50,34 @@
         self.assertEqual(bool(line.get("fingerprint")), broken is not None)
 
 
+class FailingSocket:
+    """Raises an error when an answer is read."""
+
+    def __init__(self, error: Exception) -> None:
+        self.error = error
+
+    def sendall(self, data: bytes) -> None:
+        pass
+
+    def recv(self, size: int) -> bytes:
+        raise self.error
+
+
+class TestBrokenConnection(unittest.TestCase):
+    @params(
+        (ConnectionResetError(104, "reset"), True),
+        (BrokenPipeError(32, "broken pipe"), True),
+        (TimeoutError(110, "timed out"), False),
+        (OSError(113, "no route to host"), False),
+    )
+    def test_silence_is_no_crash(self, error: Exception, broken: bool) -> None:
+        """In a partition connections time out; their requests are not at fault."""
+        connection = RoutedConnection(FailingSocket(error), ReceiveBudget(1_000))  # type: ignore[arg-type]
+        with self.assertRaises(AttemptError) as caught:
+            connection.exchange("GET", b"")
+        self.assertEqual(caught.exception.broken, broken)
+
+
 class TestQuarantine(unittest.TestCase):
     """Requests to `DEADLY` crash an upstream; all others are answered."""
 
