Do not hold the retry of a request that an upstream did not run

Until its first part has arrived a gather holds retries, so that a request which crashes upstreams takes no more of them. That also held retries after "not run", which are proof against the suspicion: an owner whose three to five shards all met full upstreams would have given them up.

Test: test_upstreams_that_refuse_a_request_are_no_reason_to_hold_its_retries (with a new parameter of on_failure).

--- a/packages/decisions/src/spindle_decisions/routing/gather_execution.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_execution.py
@@ -91,12 +91,13 @@
         self._update_outcome(now)
 
     def on_failure(
-        self, attempt_id: int, now: float, not_sent: bool = False
+        self, attempt_id: int, now: float, not_sent: bool = False, not_run: bool = False
     ) -> list[UpstreamAttempt]:
         """Handle a failed attempt; return the attempt that replaces it, if any.
 
         An attempt of which no byte was sent counts neither against `max_attempts` nor,
-        when it is replaced, against the retry budget.
+        when it is replaced, against the retry budget. `not_run` means that the upstream
+        reported so: the request is not at fault, and its retry is not held.
         """
         attempt = self.attempts.pop(attempt_id)
         shard = self.shards[attempt.shard_index]
@@ -109,12 +110,13 @@
         if not_sent:
             shard.not_sent_count += 1
             cause = attempt.cause
+        replacement = None
+        if not_sent or not_run:
+            replacement = self._start_attempt(attempt.shard_index, cause, now, not_sent)
         elif self._holds_extra_attempts():
             shard.retry_held = True
-            self._give_up_held_retries()
-            self._update_outcome(now)
-            return []
-        replacement = self._start_attempt(attempt.shard_index, cause, now, not_sent)
+        else:
+            replacement = self._start_extra_attempt(attempt.shard_index, cause, now)
         self._give_up_held_retries()
         self._update_outcome(now)
         return [] if replacement is None else [replacement]
@@ -151,6 +153,13 @@
         has_part = self.missing < len(self.shards)
         return not has_part and self.unproven_extra_count >= self.max_unproven_extras
 
+    def _start_extra_attempt(
+        self, shard_index: int, cause: str, now: float
+    ) -> UpstreamAttempt | None:
+        attempt = self._start_attempt(shard_index, cause, now)
+        self.unproven_extra_count += attempt is not None
+        return attempt
+
     def _start_hedges(self, now: float) -> list[UpstreamAttempt]:
         attempts = []
         for shard_index, shard in enumerate(self.shards):
@@ -158,7 +167,7 @@
                 break
             if shard.may_hedge() and now >= shard.sent_at + self.hedge_delay_s:
                 shard.hedged = True
-                attempts.append(self._start_attempt(shard_index, attempt_cause.HEDGE, now))
+                attempts.append(self._start_extra_attempt(shard_index, attempt_cause.HEDGE, now))
         return [attempt for attempt in attempts if attempt is not None]
 
     def _start_held_retries(self, now: float) -> list[UpstreamAttempt]:
@@ -166,7 +175,7 @@
         for shard_index, shard in enumerate(self.shards):
             if shard.retry_held and not self._holds_extra_attempts():
                 shard.retry_held = False
-                attempts.append(self._start_attempt(shard_index, attempt_cause.RETRY, now))
+                attempts.append(self._start_extra_attempt(shard_index, attempt_cause.RETRY, now))
         return [attempt for attempt in attempts if attempt is not None]
 
     def _give_up_held_retries(self) -> None:
@@ -204,8 +213,6 @@
                 self._give_up(shard)
             return None
         replica.acquire_rate(now)
-        if cause != attempt_cause.FIRST and not is_replacement:
-            self.unproven_extra_count += 1
         attempt = UpstreamAttempt(next_attempt_id(), shard_index, replica, cause)
         shard.tried_replicas.append(replica)
         shard.in_flight[attempt.attempt_id] = now
--- a/tests/decisions/routing/test_query_of_death.py
+++ b/tests/decisions/routing/test_query_of_death.py
@@ -70,6 +70,13 @@
         assert self.gather.outcome is not None
         self.assertEqual(self.gather.outcome.reason, "whole")
 
+    def test_upstreams_that_refuse_a_request_are_no_reason_to_hold_its_retries(self) -> None:
+        """All near upstreams are full: they say that they did not run it."""
+        retried = []
+        for attempt in self.gather.start(NOW):
+            retried += self.gather.on_failure(attempt.attempt_id, NOW + 0.001, not_run=True)
+        self.assertEqual(len(retried), SHARDS)
+
     def test_hedges_find_the_other_data_center_when_all_near_upstreams_are_silent(self) -> None:
         self.gather.start(NOW)
         hedge_at = self.gather.next_tick_at()
