Decide in one place what is told of suspected requests, and expire them with the fleet table

Entry and control instances each compared digests and collected the news; RequestQuarantine.news_for does both for either. suspects() and digest() also dropped old entries; that is expire() now, called where the fleet table expires its processes. The digest uses the hash and encoding of the other digests (instances_digest, upstream lists). What is sent when is unchanged; one more test for the expiry.

--- a/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/control_desk.py
@@ -145,6 +145,7 @@
         now = self.spindle.clock.now()
         self.table.observe(now, self.own_instance)
         self._expire_instances(now)
+        self.quarantine.expire()
         others = self.table.recently_seen(now, const.ROLE_CONTROL, const.EXPIRE_AFTER_S)
         self.driver.node.update_known_peers(frozenset(item.name for item in others))
         self.hello_count += 1
--- a/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/fleet/entry_desk.py
@@ -135,6 +135,7 @@
             self._reconnect_if_unresponsive(now, address, primary)
             self.unanswered_since.setdefault(address, now)
             self.spindle.transport.send(address, self._heartbeat(address, primary))
+        self.quarantine.expire()
         for expired in self.table.expire(now):
             self.spindle.transport.disconnect(expired.address)
 
--- a/packages/daemon/src/spindle_daemon/components/quarantine/control_quarantine.py
+++ b/packages/daemon/src/spindle_daemon/components/quarantine/control_quarantine.py
@@ -32,13 +32,13 @@
 
     def synchronize(self, address: str, digest: str) -> None:
         """Send what is known here to an entry instance that reported another digest."""
-        now = self.spindle.clock.now()
-        if digest == self.requests.digest(now):
-            return
-        names = self.requests.suspects(now)
-        if names:
-            items = tuple(self.requests.breaks_of(name, now) for name in names)
-            self.spindle.transport.send(address, QuarantineUpdate(items, relayed=True))
+        news = self.requests.news_for(digest, self.spindle.clock.now())
+        if news:
+            self.spindle.transport.send(address, QuarantineUpdate(news, relayed=True))
+
+    def expire(self) -> None:
+        """Forget the requests whose suspicion has ended with time."""
+        self.requests.expire(self.spindle.clock.now())
 
     def _on_update(self, _sender: str, update: QuarantineUpdate) -> None:
         now = self.spindle.clock.now()
--- a/packages/daemon/src/spindle_daemon/components/quarantine/entry_quarantine.py
+++ b/packages/daemon/src/spindle_daemon/components/quarantine/entry_quarantine.py
@@ -46,9 +46,13 @@
 
     def synchronize(self, address: str, digest: str) -> None:
         """Send what is known here to a control instance that reported another digest."""
-        now = self.spindle.clock.now()
-        if digest != self.requests.digest(now):
-            self._send([address], self.requests.suspects(now))
+        news = self.requests.news_for(digest, self.spindle.clock.now())
+        if news:
+            self.spindle.transport.send(address, QuarantineUpdate(news))
+
+    def expire(self) -> None:
+        """Forget the requests whose suspicion has ended with time."""
+        self.requests.expire(self.spindle.clock.now())
 
     def _on_own_finding(self, fingerprint: str) -> None:
         self.log.log_change(fingerprint, self.spindle.clock.now(), "own")
@@ -59,16 +63,9 @@
     def _report(self) -> None:
         names = tuple(self.unreported)[-MAX_REPORTED:]
         self.unreported.clear()
-        self._send(self.control_addresses(), names)
-
-    def _send(self, addresses: list[str], fingerprints: tuple[str, ...]) -> None:
-        if not fingerprints:
-            return
         now = self.spindle.clock.now()
-        update = QuarantineUpdate(
-            tuple(self.requests.breaks_of(name, now) for name in fingerprints)
-        )
-        for address in addresses:
+        update = QuarantineUpdate(tuple(self.requests.breaks_of(name, now) for name in names))
+        for address in self.control_addresses():
             self.spindle.transport.send(address, update)
 
     def _on_update(self, sender: str, update: QuarantineUpdate) -> None:
--- a/packages/decisions/src/spindle_decisions/quarantine/request_quarantine.py
+++ b/packages/decisions/src/spindle_decisions/quarantine/request_quarantine.py
@@ -1,6 +1,7 @@
 """Requests that crash the upstreams that run them."""
 
-import hashlib
+import msgspec
+import xxhash
 
 from spindle_decisions.quarantine import const
 from spindle_decisions.quarantine.quarantine_entry import QuarantineEntry
@@ -83,14 +84,15 @@
         return RequestBreaks(fingerprint, entry.pairs(), age_ms)
 
     def suspects(self, now: float) -> tuple[str, ...]:
-        """Return the fingerprints of the suspected requests with the latest news, at most
-        `MAX_SENT_ENTRIES`; forgets those whose time is over.
+        """Return the fingerprints of the suspected requests with the latest news.
+
+        There are at most `MAX_SENT_ENTRIES` of them.
         """
-        for fingerprint in [
-            name for name, entry in self.entries.items() if self._is_expired(entry, now)
-        ]:
-            del self.entries[fingerprint]
-        names = [name for name, entry in self.entries.items() if entry.is_suspect()]
+        names = [
+            name
+            for name, entry in self.entries.items()
+            if entry.is_suspect() and not self._is_expired(entry, now)
+        ]
         return tuple(names[-const.MAX_SENT_ENTRIES :])
 
     def digest(self, now: float) -> str:
@@ -98,8 +100,20 @@
         names = self.suspects(now)
         if not names:
             return ""
-        content = repr(sorted((name, self.entries[name].pairs()) for name in names))
-        return hashlib.blake2b(content.encode(), digest_size=8).hexdigest()
+        content = sorted((name, self.entries[name].pairs()) for name in names)
+        return xxhash.xxh3_64_hexdigest(msgspec.msgpack.encode(content))
+
+    def news_for(self, digest: str, now: float) -> tuple[RequestBreaks, ...]:
+        """Return the suspected requests for an instance that has others, by its digest."""
+        if digest == self.digest(now):
+            return ()
+        return tuple(self.breaks_of(name, now) for name in self.suspects(now))
+
+    def expire(self, now: float) -> None:
+        """Forget the requests whose suspicion has ended with time."""
+        self.entries = {
+            name: entry for name, entry in self.entries.items() if not self._is_expired(entry, now)
+        }
 
     def _is_expired(self, entry: QuarantineEntry, now: float) -> bool:
         return not entry.is_blocked() and now - entry.broken_at > const.SUSPECT_TTL_S
--- a/tests/decisions/quarantine/test_request_quarantine.py
+++ b/tests/decisions/quarantine/test_request_quarantine.py
@@ -56,6 +56,14 @@
         requests.record_break(DEADLY, "b", "u1", later)
         self.assertIs(requests.verdict(DEADLY, later), Verdict.NORMAL)
 
+    def test_expiry_forgets_suspicions_and_keeps_blocked_requests(self) -> None:
+        requests = quarantine(("a", "u1"), ("b", "u2"), ("c", "u3"))
+        requests.record_break("other", "a", "u1", NOW)
+        requests.expire(NOW + const.SUSPECT_TTL_S)
+        self.assertEqual(set(requests.entries), {DEADLY, "other"})
+        requests.expire(NOW + const.SUSPECT_TTL_S + 1)
+        self.assertEqual(set(requests.entries), {DEADLY})
+
     def test_blocked_request_is_tried_once_more_after_its_time(self) -> None:
         requests = quarantine(("a", "u1"), ("b", "u2"), ("c", "u3"))
         later = NOW + const.BLOCK_S
