Start held retries and due hedges of a gather in one loop

Two loops over the shards differed in what they waited for only. A shard never has both: a held retry has no attempt in flight beside it that could still be hedged, and before the first part no retry is held while an extra attempt is allowed. The number of attempts of a shard was counted in two places (GatherShard.attempt_count), and whether a replica is withheld asked in two steps.

--- a/packages/decisions/src/spindle_decisions/routing/gather_execution.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_execution.py
@@ -125,8 +125,7 @@
         """Update the outcome for the time `now`; return the hedges that are due."""
         attempts = self._start_waiting(now)
         if self.outcome is None:
-            attempts += self._start_held_retries(now)
-            attempts += self._start_hedges(now)
+            attempts += self._start_due_extra_attempts(now)
             self._give_up_held_retries()
         self._update_outcome(now)
         return attempts
@@ -160,30 +159,33 @@
         self.unproven_extra_count += attempt is not None
         return attempt
 
-    def _start_hedges(self, now: float) -> list[UpstreamAttempt]:
+    def _start_due_extra_attempts(self, now: float) -> list[UpstreamAttempt]:
+        """Start the retries that were held and the hedges that are due, as far as allowed."""
         attempts = []
         for shard_index, shard in enumerate(self.shards):
             if self._holds_extra_attempts():
                 break
-            if shard.may_hedge() and now >= shard.sent_at + self.hedge_delay_s:
-                shard.hedged = True
-                attempts.append(self._start_extra_attempt(shard_index, attempt_cause.HEDGE, now))
-        return [attempt for attempt in attempts if attempt is not None]
-
-    def _start_held_retries(self, now: float) -> list[UpstreamAttempt]:
-        attempts = []
-        for shard_index, shard in enumerate(self.shards):
-            if shard.retry_held and not self._holds_extra_attempts():
+            if shard.retry_held:
                 shard.retry_held = False
-                attempts.append(self._start_extra_attempt(shard_index, attempt_cause.RETRY, now))
-        return [attempt for attempt in attempts if attempt is not None]
+                cause = attempt_cause.RETRY
+            elif shard.may_hedge() and now >= shard.sent_at + self.hedge_delay_s:
+                shard.hedged = True
+                cause = attempt_cause.HEDGE
+            else:
+                continue
+            attempt = self._start_extra_attempt(shard_index, cause, now)
+            if attempt is not None:
+                attempts.append(attempt)
+        return attempts
 
     def _give_up_held_retries(self) -> None:
         """Give up the retries that are held if no attempt is left that could bring a part."""
-        if self.attempts or any(shard.waiting for shard in self.shards):
+        if self.attempts or not self._holds_extra_attempts():
+            return
+        if any(shard.waiting for shard in self.shards):
             return
         for shard in self.shards:
-            if shard.retry_held and self._holds_extra_attempts():
+            if shard.retry_held:
                 shard.retry_held = False
                 self._give_up(shard)
 
@@ -192,8 +194,7 @@
     ) -> UpstreamAttempt | None:
         shard = self.shards[shard_index]
         replica = None
-        attempt_count = len(shard.tried_replicas) - shard.not_sent_count
-        if attempt_count < self.route.max_attempts and now < self.end_at:
+        if shard.attempt_count() < self.route.max_attempts and now < self.end_at:
             replica = self.state.replicas.select_replica(
                 shard.service,
                 now,
@@ -230,10 +231,8 @@
         wait_s = self.state.replicas.connection_wait_s(
             shard.service, now, self.median_latency.seconds, tuple(shard.tried_replicas)
         )
-        attempt_count = len(shard.tried_replicas) - shard.not_sent_count
-        if attempt_count >= self.route.max_attempts or wait_s > const.CONNECTION_WAIT_RATIO * (
-            self.aim_at - now
-        ):
+        max_wait_s = const.CONNECTION_WAIT_RATIO * (self.aim_at - now)
+        if shard.attempt_count() >= self.route.max_attempts or wait_s > max_wait_s:
             return False
         waiting = WaitingAttempt(cause, is_replacement)
         shard.waiting = waiting
--- a/packages/decisions/src/spindle_decisions/routing/gather_shard.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_shard.py
@@ -28,6 +28,10 @@
     waiting: WaitingAttempt | None = None
     retry_held: bool = False
 
+    def attempt_count(self) -> int:
+        """Return the number of attempts that count against the route's limit."""
+        return len(self.tried_replicas) - self.not_sent_count
+
     def may_hedge(self) -> bool:
         """Return whether a hedge can still be sent beside the attempt in flight."""
         return bool(self.in_flight) and self.part is None and not self.hedged
--- a/packages/decisions/src/spindle_decisions/routing/replica_pool.py
+++ b/packages/decisions/src/spindle_decisions/routing/replica_pool.py
@@ -198,9 +198,7 @@
 
 def _is_withheld(replica: Replica, now: float, is_hedge: bool) -> bool:
     limit = replica.rate_limit
-    if limit is None:
-        return False
-    if not is_hedge and limit.has_token(now):
+    if limit is None or (limit.has_token(now) and not is_hedge):
         return False
     limit.skipped_count += 1
     return True
