--- a/packages/daemon/src/spindle_daemon/components/routed/attempt_result.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/attempt_result.py
@@ -22,3 +22,7 @@
     reason: str
     timed_out: bool = False
     broken: bool = False
+
+    def is_not_run(self) -> bool:
+        """Return whether the upstream reported that the request did not run there."""
+        return self.reply_class in (ReplyClass.NOT_RUN, ReplyClass.MISPLACED)
--- a/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/gather_runner.py
@@ -129,8 +129,9 @@
             self.gather.on_response(attempt_id, result.reply, now)
             return
         self.attempt_pool.trace.record_failure(result)
-        not_run = result.reply_class in (ReplyClass.NOT_RUN, ReplyClass.MISPLACED)
-        self._start_attempts(self.gather.on_failure(attempt_id, now, result.not_sent, not_run))
+        self._start_attempts(
+            self.gather.on_failure(attempt_id, now, result.not_sent, result.is_not_run())
+        )
 
     def _answer(self) -> RoutedResponse:
         outcome = self.gather.outcome
--- a/packages/daemon/src/spindle_daemon/components/routed/single_runner.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/single_runner.py
@@ -68,7 +68,7 @@
         self.timed_out = self.timed_out or result.timed_out
         if result.not_sent:
             self._start_attempt(self.single.on_not_sent(attempt_id, now))
-        elif result.reply_class in (ReplyClass.NOT_RUN, ReplyClass.MISPLACED):
+        elif result.is_not_run():
             self._start_attempt(self.single.on_not_run(attempt_id, now))
         else:
             if result.reply_class is ReplyClass.FAILURE:
