Hash a request once

While a request is under suspicion, the gate, each attempt pool and each owner hashed every request with its body again. RoutedRequest has its fingerprint, computed at the first use.

--- a/packages/daemon/src/spindle_daemon/components/routed/attempt_pool.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/attempt_pool.py
@@ -16,7 +16,6 @@
 from spindle_daemon.components.routed.upstream_client import UpstreamClient
 from spindle_daemon.core.clock import Clock
 from spindle_decisions.routing.median_latency import MedianLatency
-from spindle_decisions.routing.request_fingerprint import request_fingerprint
 from spindle_decisions.routing.upstream_attempt import UpstreamAttempt
 
 
@@ -94,15 +93,16 @@
 
     def _record_in_quarantine(self, result: AttemptResult) -> None:
         """Record a break, unless an upstream has answered: then the request is not at fault."""
-        quarantine = self.upstream_client.quarantine
-        request = self.request.caller_request
+        quarantine, request = self.upstream_client.quarantine, self.request
         if result.reply_class is ReplyClass.GOOD:
             if not self.is_answered and not quarantine.is_empty():
-                quarantine.record_answer(request_fingerprint(request))
+                quarantine.record_answer(request.fingerprint)
             self.is_answered = True
         elif result.broken:
-            self.trace.fingerprint = self.trace.fingerprint or request_fingerprint(request)
+            self.trace.fingerprint = request.fingerprint
             if not self.is_answered:
                 quarantine.record_break(
-                    self.trace.fingerprint, request.request_id, result.attempt.replica.upstream_id
+                    request.fingerprint,
+                    request.caller_request.request_id,
+                    result.attempt.replica.upstream_id,
                 )
--- a/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/coordinator.py
@@ -128,9 +128,7 @@
         if not self.routing_state.admit_request(route, self.spindle.clock.now()):
             raise OverloadedError("too few upstreams can be reached")
         return self.quarantine_gate.run(
-            request.caller_request,
-            route,
-            lambda allowed: self._forward(request, allowed, caller, trace),
+            request, route, lambda allowed: self._forward(request, allowed, caller, trace)
         )
 
     def _forward(
--- a/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/owner_desk.py
@@ -19,7 +19,6 @@
 from spindle_decisions.routing.routing_state import RoutingState
 from spindle_decisions.routing.upstream_attempt import next_attempt_id
 from spindle_decisions.util.units import MS_PER_S
-from spindle_decisions.wire.caller_request import CallerRequest
 from spindle_decisions.wire.fleet_instance import FleetInstance
 from spindle_decisions.wire.spread_cancel import SpreadCancel
 from spindle_decisions.wire.spread_question import SpreadQuestion
@@ -44,7 +43,7 @@
         upstream_client: UpstreamClient,
         routing_state: RoutingState,
         peers: Callable[[], tuple[FleetInstance, ...]],
-        is_blocked: Callable[[CallerRequest], bool],
+        is_blocked: Callable[[RoutedRequest], bool],
     ) -> None:
         self.spindle = spindle
         self.upstream_client = upstream_client
@@ -124,12 +123,12 @@
 
     def _gather(self, question: SpreadQuestion, reply: ReplyListener) -> None:
         """Start a sub-request; `_on_cancel` may end it even before its greenlet has run."""
-        if not question.shards or self.is_blocked(question.request):
+        deadline_s = question.left_ms / MS_PER_S
+        request = RoutedRequest(question.request, deadline_s, self.spindle.clock.now())
+        if not question.shards or self.is_blocked(request):
             reply(SpreadReply(question.seq, self.name, (), b"", 0))
             return
         trace = RequestTrace()
-        deadline_s = question.left_ms / MS_PER_S
-        request = RoutedRequest(question.request, deadline_s, self.spindle.clock.now())
         attempt_pool = AttemptPool(self.spindle.clock, self.upstream_client, request, trace)
         route = sub_route(question)
         runner = GatherRunner(attempt_pool, self.routing_state, route, is_for_owner=True)
--- a/packages/daemon/src/spindle_daemon/components/routed/quarantine_gate.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/quarantine_gate.py
@@ -7,15 +7,14 @@
 
 from spindle_daemon.components.quarantine.entry_quarantine import EntryQuarantine
 from spindle_daemon.components.routed.const import RETRY_AFTER_TRIAL_S
+from spindle_daemon.components.routed.routed_request import RoutedRequest
 from spindle_daemon.components.routed.routed_response import RoutedResponse
 from spindle_daemon.core.clock import Clock
 from spindle_decisions.exceptions import QuarantinedError
 from spindle_decisions.quarantine.const import TRIAL_DELAY_S
 from spindle_decisions.quarantine.verdict import Verdict
-from spindle_decisions.routing.request_fingerprint import request_fingerprint
 from spindle_decisions.routing.route import Route
 from spindle_decisions.routing.routing_state import RoutingState
-from spindle_decisions.wire.caller_request import CallerRequest
 
 Forward = Callable[[Route], RoutedResponse | None]
 
@@ -35,12 +34,11 @@
         self.trial_delay_s = TRIAL_DELAY_S
         self.trials: set[str] = set()
 
-    def run(self, request: CallerRequest, route: Route, forward: Forward) -> RoutedResponse | None:
+    def run(self, request: RoutedRequest, route: Route, forward: Forward) -> RoutedResponse | None:
         """Forward a request as far as it may run; raise `QuarantinedError` if it may not."""
         if self.quarantine.is_empty():
             return forward(route)
-        fingerprint = request_fingerprint(request)
-        now = self.clock.now()
+        fingerprint, now = request.fingerprint, self.clock.now()
         verdict = self.quarantine.requests.verdict(fingerprint, now)
         if verdict is Verdict.NORMAL:
             return forward(route)
@@ -63,11 +61,11 @@
         is_whole = answer is None or not route.shards
         return answer if is_whole else forward(route)
 
-    def is_blocked(self, request: CallerRequest) -> bool:
+    def is_blocked(self, request: RoutedRequest) -> bool:
         """Return whether a request may run at no upstream."""
         if self.quarantine.is_empty():
             return False
-        verdict = self.quarantine.requests.verdict(request_fingerprint(request), self.clock.now())
+        verdict = self.quarantine.requests.verdict(request.fingerprint, self.clock.now())
         return verdict is Verdict.BLOCKED
 
     def _trial_route(self, route: Route, now: float, since: float) -> Route | None:
--- a/packages/daemon/src/spindle_daemon/components/routed/routed_request.py
+++ b/packages/daemon/src/spindle_daemon/components/routed/routed_request.py
@@ -1,7 +1,9 @@
 """A routed request with its deadline."""
 
 import dataclasses
+import functools
 
+from spindle_decisions.routing.request_fingerprint import request_fingerprint
 from spindle_decisions.wire.caller_request import CallerRequest
 
 
@@ -12,3 +14,8 @@
     caller_request: CallerRequest
     deadline_s: float
     arrived_at: float
+
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Return what is equal for repetitions of the request; hashes its body once."""
+        return request_fingerprint(self.caller_request)
