Write the steps that tests of the query of death share once

Two tests sent the deadly request among others by the same loop, two asked an owner for it, and three built the names of the shards' upstreams. The owner tests both wait 0.2 s now, one of them 0.05 s before; every assertion stays.

--- a/tests/daemon/routed/test_query_of_death.py
+++ b/tests/daemon/routed/test_query_of_death.py
@@ -17,7 +17,9 @@
 from spindle_platform.platform_adapter import HEADERS
 from tests.daemon.routed.common import (
     ID,
+    Answer,
     Request,
+    RoutedHarness,
     ScriptedUpstream,
     UpstreamScript,
     routed_harness,
@@ -26,6 +28,7 @@
 
 LOGGER = "spindle_daemon.components.routed.request_log"
 DEADLY = "21a54b"
+DEADLY_SEARCH = CallerRequest("GET", f"/search/{DEADLY}", HOST, (), b"", False, "id-9")
 
 
 def crash(_request: Request) -> bytes:
@@ -33,6 +36,11 @@
     return b""
 
 
+def shard_upstream_names(shards: int) -> list[str]:
+    """Return the names of two upstreams for each shard."""
+    return [f"s{number}-{letter}" for number in range(shards) for letter in "ab"]
+
+
 class TestLogOfBrokenAttempts(unittest.TestCase):
     @params(
         ("closed", crash, 1),
@@ -93,18 +101,32 @@
     def upstreams(self, *names: str) -> list[ScriptedUpstream]:
         return [ScriptedUpstream(name, name.partition("-")[0], self.script) for name in names]
 
+    def ask_among_others(self, entry: RoutedHarness, path: str, others: int) -> list[Answer]:
+        """Send the deadly request ten times, and others in between, which must be served."""
+        entry.coordinator.quarantine_gate.trial_delay_s = 0.0
+        answers = []
+        for number in range(10):
+            answers.append(entry.ask(f"{path}/{DEADLY}", **{ID: f"id-{number}"}))
+            for other in range(others):
+                self.assertEqual(entry.ask(f"{path}/{number}-{other}").status, 200)
+        return answers
+
+    def ask_owner(self, entry: RoutedHarness, shards: int) -> list[SpreadReply]:
+        """Send the deadly request to an instance as the owner of some shards."""
+        names = tuple(f"s{number}" for number in range(shards))
+        question = SpreadQuestion(7, "asker", names, 5, "r", 2, 100, 500, DEADLY_SEARCH)
+        replies: list[SpreadReply] = []
+        entry.coordinator.owner_rpc._gather(question, replies.append)
+        gevent.sleep(0.2)
+        return replies
+
     @params(True, False)
     def test_lookup_is_refused_after_three_requests_and_others_are_served(
         self, idempotent: bool
     ) -> None:
         upstreams = self.upstreams("desk-1", "desk-2", "desk-3", "desk-4")
         with routed_harness(*upstreams, routes=(single_route(idempotent),)) as entry:
-            entry.coordinator.quarantine_gate.trial_delay_s = 0.0
-            answers = []
-            for number in range(10):
-                answers.append(entry.ask(f"/lookup/{DEADLY}", **{ID: f"id-{number}"}))
-                for other in range(8):
-                    self.assertEqual(entry.ask(f"/lookup/{number}-{other}").status, 200)
+            answers = self.ask_among_others(entry, "/lookup", others=8)
         self.assertLessEqual(len(self.runs), 4)
         self.assertEqual({answer.status for answer in answers[4:]}, {503})
         self.assertIn(b"quarantined", answers[-1].body)
@@ -112,16 +134,9 @@
 
     def test_gather_is_refused_after_three_requests_and_others_are_served(self) -> None:
         shards = 10
-        upstreams = self.upstreams(
-            *(f"s{number}-{letter}" for number in range(shards) for letter in "ab")
-        )
+        upstreams = self.upstreams(*shard_upstream_names(shards))
         with routed_harness(*upstreams, routes=(gather_route(shards, 0.9),)) as entry:
-            entry.coordinator.quarantine_gate.trial_delay_s = 0.0
-            answers = []
-            for number in range(10):
-                answers.append(entry.ask(f"/search/{DEADLY}", **{ID: f"id-{number}"}))
-                for other in range(6):
-                    self.assertEqual(entry.ask(f"/search/{number}-{other}").status, 200)
+            answers = self.ask_among_others(entry, "/search", others=6)
         self.assertLessEqual(len(self.runs), shards + const.UNPROVEN_EXTRA_ATTEMPTS + 2)
         self.assertIn(b"quarantined", answers[-1].body)
 
@@ -154,9 +169,8 @@
             return request.answer(b"x" * 16)
 
         upstreams = [
-            ScriptedUpstream(f"s{shard}-{letter}", f"s{shard}", script)
-            for shard in range(2)
-            for letter in "ab"
+            ScriptedUpstream(name, name.partition("-")[0], script)
+            for name in shard_upstream_names(2)
         ]
         with routed_harness(*upstreams, routes=(gather_route(2, 0.9, max_attempts=1),)) as entry:
             entry.coordinator.quarantine_gate.trial_delay_s = 0.0
@@ -168,28 +182,17 @@
 
     def test_owner_of_several_shards_sends_no_extra_attempts(self) -> None:
         """A gather has many owners: one extra attempt of each would take as many shards."""
-        upstreams = self.upstreams(
-            *(f"s{number}-{letter}" for number in range(5) for letter in "ab")
-        )
+        upstreams = self.upstreams(*shard_upstream_names(5))
         with routed_harness(*upstreams, routes=(gather_route(5, 0.9),)) as entry:
-            request = CallerRequest("GET", f"/search/{DEADLY}", HOST, (), b"", False, "id-9")
-            shards = tuple(f"s{number}" for number in range(5))
-            question = SpreadQuestion(7, "asker", shards, 5, "r", 2, 100, 500, request)
-            replies: list[SpreadReply] = []
-            entry.coordinator.owner_rpc._gather(question, replies.append)
-            gevent.sleep(0.2)
+            replies = self.ask_owner(entry, shards=5)
         self.assertEqual(len(self.runs), 5)
         self.assertEqual([(item.signatures, item.more) for item in replies], [((), False)])
 
     def test_owner_answers_a_blocked_request_without_parts(self) -> None:
         with routed_harness(*self.upstreams("s0-a", "s1-a")) as entry:
-            request = CallerRequest("GET", f"/search/{DEADLY}", HOST, (), b"", False, "id-9")
-            fingerprint = request_fingerprint(request)
+            fingerprint = request_fingerprint(DEADLY_SEARCH)
             for number in range(3):
                 entry.fleet.quarantine.record_break(fingerprint, f"id-{number}", f"u{number}")
-            question = SpreadQuestion(7, "asker", ("s0", "s1"), 5, "r", 2, 100, 500, request)
-            replies: list[SpreadReply] = []
-            entry.coordinator.owner_rpc._gather(question, replies.append)
-            gevent.sleep(0.05)
+            replies = self.ask_owner(entry, shards=2)
         self.assertEqual([(item.signatures, item.more) for item in replies], [((), False)])
         self.assertEqual(self.runs, [])
