--- a/packages/decisions/src/spindle_decisions/routing/gather_execution.py
+++ b/packages/decisions/src/spindle_decisions/routing/gather_execution.py
@@ -57,7 +57,7 @@
         self.aim_at = now + max(0.0, aim_s - margin_s)
         self.end_at = now + limit_s
         self.missing = len(self.shards)
-        self.max_missing = len(self.shards) - min_parts(route)
+        self.max_missing = len(self.shards) - route.min_parts()
         self.given_up_count = 0
         self.max_unproven_extras = max_unproven_extras
         self.unproven_extra_count = 0
@@ -288,14 +288,3 @@
             self.outcome = GatherOutcome("doomed", False)
         elif now >= self.end_at:
             self.outcome = GatherOutcome("deadline", enough)
-
-
-def min_parts(route: Route) -> int:
-    """Return the number of parts that an answer needs; a least share of 0 needs none."""
-    if route.least_share <= 0:
-        return 0
-    count = len(route.shards)
-    for parts in range(1, count + 1):
-        if parts / count >= route.least_share:
-            return parts
-    return count
--- a/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
+++ b/packages/decisions/src/spindle_decisions/routing/owner_fanout.py
@@ -3,7 +3,6 @@
 from collections.abc import Container
 
 from spindle_decisions.routing import const
-from spindle_decisions.routing.gather_execution import min_parts
 from spindle_decisions.routing.gather_outcome import GatherOutcome
 from spindle_decisions.routing.owner_request import OwnerRequest
 from spindle_decisions.routing.owner_response import OwnerResponse
@@ -112,7 +111,7 @@
         return all(token in self.responded for token in self.in_flight)
 
     def _has_enough(self) -> bool:
-        return self.answered_shards >= min_parts(self.route)
+        return self.answered_shards >= self.route.min_parts()
 
     def _update_outcome(self, now: float) -> None:
         if self.outcome is not None:
--- a/packages/decisions/src/spindle_decisions/routing/route.py
+++ b/packages/decisions/src/spindle_decisions/routing/route.py
@@ -29,3 +29,13 @@
     shards: tuple[str, ...] = ()
     top_records: int = 0
     least_share: float = 0.0
+
+    def min_parts(self) -> int:
+        """Return the number of parts that an answer needs; a least share of 0 needs none."""
+        if self.least_share <= 0:
+            return 0
+        count = len(self.shards)
+        for parts in range(1, count + 1):
+            if parts / count >= self.least_share:
+                return parts
+        return count
