--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,73 +1,56 @@
-"""A front machine is killed and starts again while a shard is slow.
+"""All open connections between machines go silent once.
 
-Exit 1: a success names in `Damaskspindle-Part-Stamps` the signature of another request.
+Exit 1: from then on no core machine answers a read of the configuration.
 """
 
 import asyncio
-import signal
 
 from standins.case import BROKEN, HELD, TROUBLE, Case, run
-from standins.config import HOST, config, gather
-from standins.http import Message
+from standins.config import HOST, config, single
 
-CORES = ("core-1", "core-2", "core-3")
-FRONTS = ("front-1", "front-2", "front-3", "front-4")
-SHARDS = [f"shard{number}" for number in range(6)]
-# As on grown deployments, an upstream takes fewer connections than would do for all machines.
-MAX_CONNS = 5
-WORK_S, SLOW_X = 0.18, 12.0
-REQUESTS = 1
-TIMEOUT_MS = 4000
+CORES = ("core-1", "core-2", "core-3", "core-4")
+FRONTS = ("front-1", "front-2")
+# Over three times `stabilityWindowMs`.
+CALM_S = 14.0
+OPERATOR_S = 30.0
+# Twice `stabilityWindowMs`.
+READ_BACK_S = 8.0
 
 
-async def ask_some(case: Case, name: str) -> list[tuple[str, Message]]:
-    """Send some requests at once to front-1; return the answers by request id."""
-
-    async def ask(number: int) -> tuple[str, Message]:
-        request_id = f"{name}-{number}"
-        return request_id, await case.fleet.ask(
-            "front-1", HOST, f"/g/{name}{number}", request_id, TIMEOUT_MS
-        )
-
-    return await asyncio.gather(*(ask(number) for number in range(REQUESTS)))
+async def read_all(case: Case, seconds: float) -> list[int]:
+    """Read the configuration at each core machine, again and again; return the statuses."""
+    statuses = []
+    end = case.record.now() + seconds
+    while case.record.now() < end:
+        reads = await asyncio.gather(*(case.fleet.read_config(name) for name in CORES))
+        statuses += [status for status, _ in reads]
+        await asyncio.sleep(0.3)
+    return statuses
 
 
 async def main(case: Case) -> int:
-    await case.start(dict.fromkeys(SHARDS, 2), max_conns=MAX_CONNS)
-    fleet, backends = case.fleet, case.backends
-
-    def work_s(service: str, _backend: str, _request: Message) -> float:
-        return WORK_S * SLOW_X if service == SHARDS[-1] else WORK_S
-
-    backends.work_s = work_s
+    await case.start({"old": 2, "new": 2})
+    fleet, conns = case.fleet, {"old": 25, "new": 25}
     await fleet.start(*CORES, *FRONTS)
-    document = config(3, [gather("g-1", "/g/", SHARDS, timeoutMs=TIMEOUT_MS)], dict.fromkeys(SHARDS, MAX_CONNS))
-    case.need(await fleet.replace_config(document, CORES, 30), "no first configuration")
+    first = config(3, [single("r-1", "/a/", "old")], conns)
+    case.need(await fleet.replace_config(first, CORES, 30), "no first configuration")
     case.need(await fleet.wait_ready(*FRONTS), "not ready")
-    await asyncio.sleep(4)
+    await asyncio.sleep(6)
+    before = await read_all(case, 1)
+    case.need(before.count(200) == len(before), "not all core machines answer reads")
+    answer = await fleet.ask("front-1", HOST, "/a/1", "before", 2000)
+    case.need(answer.status == 200, "a request was not served")
     if TROUBLE:
-        old = asyncio.ensure_future(ask_some(case, "old"))
-        await asyncio.sleep(0.2)
-        fleet.signal("front-1", signal.SIGKILL)
-        await fleet.start("front-1", bootstrap=False)
-        await old
-        started = case.record.now()
-        case.need(await fleet.wait_ready("front-1"), "not ready again")
-        case.record.say(f"ready again after {case.record.now() - started:.2f} s")
-    answers = await ask_some(case, "new")
-    await asyncio.sleep(1)
-    foreign = 0
-    for request_id, answer in answers:
-        stamps = [text.strip() for text in answer.header("Damaskspindle-Part-Stamps").split(",")]
-        wrong = [
-            stamp
-            for stamp in stamps
-            if stamp and case.backends.stamps[stamp].request_id != request_id
-        ]
-        case.record.say(f"{request_id}: {answer.status}, {len(stamps)} parts, foreign: {wrong}")
-        foreign += answer.status == 200 and bool(wrong)
-    case.need(any(answer.status == 200 for _, answer in answers), "no success")
-    return BROKEN if foreign else HELD
-
-
-run(Case(), main)
+        counts = {name: proxy.silence() for name, proxy in fleet.proxies.items()}
+        case.record.say(f"open connections go silent, by the machine that accepted: {counts}")
+    await asyncio.sleep(CALM_S)
+    case.record.say(f"{CALM_S} s later, reads: {await read_all(case, 1)}")
+    second = config(8, [single("r-1", "/a/", "new")], conns)
+    acked = await fleet.replace_config(second, CORES, OPERATOR_S)
+    case.record.say(f"version 8 acknowledged within {OPERATOR_S} s: {acked}")
+    after = await read_all(case, READ_BACK_S)
+    case.record.say(f"{after.count(200)} of {len(after)} reads of the last {READ_BACK_S} s came")
+    return HELD if after.count(200) else BROKEN
+
+
+run(Case(proxied=True), main)
--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -4,10 +4,11 @@
 
 
 class Link:
-    """One proxied connection."""
+    """One proxied connection; it holds all that must stay open while it is silent."""
 
-    def __init__(self) -> None:
+    def __init__(self, *held: object) -> None:
         self.silent = False
+        self.held = held
 
 
 class Proxy:
@@ -40,14 +41,13 @@
         except OSError:
             writer.transport.abort()
             return
-        link = Link()
+        link = Link(reader, writer, far_reader, far_writer, asyncio.current_task())
         self.links.add(link)
         await asyncio.gather(
             self._pump(link, reader, far_writer), self._pump(link, far_reader, writer)
         )
-        if link.silent:
-            return
-        self.links.discard(link)
+        if not link.silent:
+            self.links.discard(link)
 
     async def _pump(
         self, link: Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
