--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,7 @@
 SHARDS = [f"shard{number}" for number in range(6)]
 # As on grown deployments, an upstream takes fewer connections than would do for all machines.
 MAX_CONNS = 5
-WORK_S, SLOW_X = 0.18, 12.0
+WORK_S, SLOW_X = 0.25, 12.0
 REQUESTS = 1
 TIMEOUT_MS = 4000
 
